Keep connections to a backend whose answer could not be read

An unreadable answer on a reused connection was taken for a stale connection, so the pool kept none to that backend for 10 s. Now only an end without a byte of the answer counts as that.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -199,10 +199,12 @@
         self._read(data)
 
     def eof_received(self) -> None:
+        self._doubt()
         self._read(b"")  # an answer without a length ends here; any other is broken
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.closed(self)
+        self._doubt()
         self._broken()
 
     def let_go(self) -> None:
@@ -216,10 +218,13 @@
         """Gives the connection up at once, with whatever is still to be written."""
         self.transport.abort()
 
+    def _doubt(self) -> None:
+        """The backend ends the connection: a kept one without a byte of the answer had gone stale."""
+        if self.attempt is not None and self._kept and self._whole_timer is None:
+            self._pool.distrust(self.endpoint)
+
     def _broken(self) -> None:
         if self.attempt is not None:
-            if self._kept and self._head is None:
-                self._pool.distrust(self.endpoint)
             self.attempt.finish(Outcome.RESET if self.sent else Outcome.NO_CONNECTION)
 
     def _read(self, data: bytes) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -198,6 +198,27 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    "said", [b"not http\r\n\r\n", b"HTTP/1.1 200 x\r\nno colon here\r\nContent-Length: 2\r\n\r\nok"]
+)
+def test_an_unreadable_answer_on_a_kept_connection_leaves_the_others_kept(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It says nothing of how the backend treats connections: only ends do."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        good = answer(200, b"ok")
+        async with backend(good, said, good) as b:
+            pool, address = Pool(0.25, 30.0, 10), ("127.0.0.1", b.port)
+            got = [(await attempt(pool, address))[0] for _ in range(4)]
+            assert got == [Outcome.OK, Outcome.RESET, Outcome.OK, Outcome.OK]
+            assert b.connections == 2 and pool._idle
+            pool.close()
+
+    run(test)
+
+
 def test_a_new_backend_at_an_old_address_gets_none_of_the_old_ones_connections() -> None:
     async def test() -> None:
         async with backend(answer(200, b"ok")) as b:
