Send settle on connections of its own, never on kept ones

A kept connection may be gone with no word of it yet. Its reset then counts as maybe run, which ends a request that must not run twice.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -53,6 +53,11 @@
     headers: Headers
     body: bytes
 
+    @property
+    def repeatable(self) -> bool:
+        """May it be sent again where it may have run? The protocol fixes the form of each class."""
+        return self.method == b"GET" or any(name == b"idempotency-key" for name, _ in self.headers)
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -92,7 +97,8 @@
         self._timer = pool.loop.call_later(timeout_s, self._timed_out)
 
     def begin(self) -> None:
-        connection = self._pool.take(self.endpoint)
+        # Guards what can't be sent again: a kept connection may have ended with no word of it yet.
+        connection = self._pool.take(self.endpoint) if self._request.repeatable else None
         if connection is not None:
             self._use(connection)
         elif self._pool.make_room():
@@ -138,6 +144,8 @@
         if self._connection is not None:
             self._connection.let_go()
             if reusable:
+                if not self._request.repeatable:  # it used none of those idle, which must not pile up
+                    self._pool.retire(self.endpoint)
                 self._pool.keep(self._connection)
             else:
                 self._connection.close()
@@ -368,6 +376,11 @@
         connection.idle_since = self.loop.time()
         connection.idle_timer = self.loop.call_later(self._idle_s, self._expire, connection)
 
+    def retire(self, endpoint: Endpoint) -> None:
+        """Closes the longest idle connection to a backend: another takes its place."""
+        if endpoint in self._idle:
+            self._expire(self._idle[endpoint][0])
+
     def _expire(self, connection: Connection) -> None:
         self.forget(connection)
         connection.close()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,7 +12,9 @@
 from snowvalve.net.upstream import Address, Endpoint, Outgoing, Pool, Reply
 from tests.net_helpers import answer, backend, peer, read_message, run
 
-REQUEST = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"2")], b"hi")
+KEY = (b"idempotency-key", b"k")
+REQUEST = Outgoing(b"POST", b"/api", [(b"host", b"x"), KEY, (b"content-length", b"2")], b"hi")
+ONCE = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"2")], b"hi")
 
 
 async def attempt(
@@ -198,6 +200,28 @@
     run(test)
 
 
+def test_what_must_not_run_twice_goes_on_a_connection_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A kept one may be gone already; new ones take the place of idle ones, so that these don't pile up."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            b.seen.append(await read_message(reader))
+            writer.write(answer(200, b"ok"))
+            await read_message(reader)  # and then it ends, with nothing said
+
+        async with peer(handle) as b:
+            pool, address = Pool(0.25, 30.0, 10), ("127.0.0.1", b.port)
+            for _ in range(4):
+                assert (await attempt(pool, address, ONCE))[0] is Outcome.OK
+                assert len(pool._idle[Endpoint(1, address)]) == 1
+            assert b.connections == 4
+            assert (await attempt(pool, address))[0] is Outcome.RESET  # the same on a kept one
+            pool.close()
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     "said", [b"not http\r\n\r\n", b"HTTP/1.1 200 x\r\nno colon here\r\nContent-Length: 2\r\n\r\nok"]
 )
