Tell a request's age by its client's mark, not by others' patience

A last try waits for all that is left of the deadline, a first try for part of it. One retry thus made every first try look old, and it was refused unsent.

--- a/snowvalve/benchlink.py
+++ b/snowvalve/benchlink.py
@@ -25,6 +25,7 @@
     70: i.Outcome.CANCELLED,
     80: i.Outcome.NOT_SENT,
 }
+RETRY_BIT = 2  # of a request's bit field: the client has tried before
 CONDITIONS = {"IN": i.Condition.UP, "LAME": i.Condition.DRAINING, "OUT": i.Condition.GONE}
 FORMS = {
     "changes": i.ListForm.CHANGES,
@@ -54,6 +55,7 @@
         class_name=need(e, "profile", str, "REQ."),
         patience_us=need(e, "patienceLeftUs", int, "REQ."),
         tenant=owner if isinstance(owner, str) else None,
+        retry=bool(optional(e, "bitmap", 0, "REQ.") & RETRY_BIT),
     )
 
 
--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -204,13 +204,26 @@
         self.answers = 0
         self.asked = 0
         self.served = 1.0  # running share of its requests that got an answer in time
-        self.longest_patience = 0
+        self.first_patience = 0  # the longest of a first try
 
     def learn(self, took_us: int) -> None:
         self.answers += 1
         self.norm += max(NORM_ALPHA, 1.0 / self.answers) * (took_us - self.norm)
         self.norm = max(self.norm, 1.0)
 
+    def age(self, request: i.Request, margin: int) -> int:
+        """The time that its client's earlier tries have used up: what is missing of the deadline.
+
+        Clients may wait for part of it only, in all tries but the last: a patience like that of first
+        tries tells no age. Nothing else does, so no age is made up from the patience of other clients.
+        """
+        if not request.retry:
+            self.first_patience = max(self.first_patience, request.patience_us)
+            return 0
+        if abs(request.patience_us - self.first_patience) <= margin:
+            return 0
+        return max(0, self.settings.deadline_us - request.patience_us)
+
     def settle(self, served: bool) -> None:
         self.served += SERVED_ALPHA * (served - self.served)
 
@@ -258,10 +271,8 @@
     def __init__(self, request: i.Request, cls: ClassState, now: int, value: float, margin: int) -> None:
         self.id, self.cls, self.value = request.id, cls, value
         self.deadline = now + request.patience_us
-        # Patience shrinks as a request grows old: what is missing is the time it has used up.
-        age = max(0, cls.longest_patience - request.patience_us)
         # Past its useful time an answer earns nothing, and a late failure costs: end just before.
-        self.useful_by = min(self.deadline, now + cls.useful_us - age) - margin
+        self.useful_by = min(self.deadline, now + cls.useful_us - cls.age(request, margin)) - margin
         self.timer = 0  # of its deadline
         self.hold_until = 0
         self.streaming = False  # the answer has begun: the client has it, and no deadline runs
@@ -400,7 +411,6 @@
             patience = max(1, request.patience_us)
             cls = ClassState(i.RequestClass(request.class_name, patience, patience))
             self.classes[request.class_name] = cls
-        cls.longest_patience = max(cls.longest_patience, request.patience_us)
         cls.asked += 1
         value = self._value(cls)
         tenant = self.tenants.get(request.tenant or "")
--- a/snowvalve/interface.py
+++ b/snowvalve/interface.py
@@ -192,6 +192,7 @@
     class_name: str
     patience_us: int
     tenant: str | None = None
+    retry: bool = False  # the client has tried before, and says so
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -42,6 +42,7 @@
     class_name: str
     patience_us: int  # from the moment of its last byte
     tenant: str | None
+    retry: bool
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]  # those that go on to the backend
@@ -110,7 +111,7 @@
             patience = min(patience, self._stop_by_us - self._clock.now_us())
         # Guards against a fault that loses the module's own timer: it runs out a little earlier.
         caller.overdue = self._loop.call_later(max(0, patience) / 1e6, self._overdue, key)
-        self._feed(i.Request(key, caller.class_name, max(1, patience), caller.tenant))
+        self._feed(i.Request(key, caller.class_name, max(1, patience), caller.tenant, caller.retry))
         return key
 
     def _overdue(self, key: str) -> None:
--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -289,6 +289,7 @@
             # Its time counts from when its last byte came, however long it waited behind another.
             patience_us=round(1e6 * max(0.0, head.patience_s - (self._front.loop.time() - came))),
             tenant=head.tenant,
+            retry=head.retry,
             method=head.method,
             target=head.target,
             headers=head.headers,
--- a/snowvalve/net/heads.py
+++ b/snowvalve/net/heads.py
@@ -34,6 +34,7 @@
     class_name: str
     patience_s: float
     tenant: str | None
+    retry: bool
     method: bytes
     target: bytes
     headers: Headers  # those that go on to the backend
@@ -90,6 +91,7 @@
         class_name=cls.name,
         patience_s=longest if deadline is None else min(float(deadline), longest),
         tenant=None if owner is None else owner.decode("latin-1"),
+        retry=fields.get(b"req-retry") == b"1",
         method=head.method,
         target=head.target,
         headers=headers,
