--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -31,6 +31,9 @@
 NORM_START = 0.2  # what a class is taken to need before any answer, as a share of its aim
 SUBSET_LEAST = 3  # backends in the subset at least, where there are as many: fewer are each better known
 SUBSET_COVER = 2  # balancers that should have each backend in their subset, on average
+AWAY_LEAST = 2  # backends of other zones in the subset at least: a zone's own may not carry its traffic
+AWAY_SHARE = 0.3  # a draw's weight for a backend in another zone, where crossing has a price
+AWAY_CALLS = 2  # calls in flight that such a backend counts as having besides its own
 
 # Admission
 LIMIT_START = 4.0  # calls a backend may have in flight before anything is known of it, from all balancers
@@ -383,22 +386,32 @@
         self.sends_at = now
         return self.sends / RATE_TAU_US
 
+    def _away(self, server: Server) -> bool:
+        """Does a call to this backend leave our zone, at a price?"""
+        return self.settings.cross_zone > 0.0 and server.entry.zone != self.settings.zone
+
+    def _weight(self, server: Server) -> float:
+        return server.share * (AWAY_SHARE if self._away(server) else 1.0)
+
     def _draw(self, pool: Sequence[Server]) -> Server:
-        """One draw by share."""
-        point = self.rng.random() * sum(s.share for s in pool)
+        """One draw by share, the less likely the further away."""
+        point = self.rng.random() * sum(self._weight(s) for s in pool)
         for server in pool:
-            point -= server.share
+            point -= self._weight(server)
             if point < 0.0:
                 return server
         return pool[-1]
 
     def _pick(self, now: int, pool: Sequence[Server]) -> tuple[Server, tuple[i.Draw, ...]]:
-        """Of two draws by share, the one with fewer own calls in flight; and the numbers why."""
+        """Of two draws by share, the one with fewer own calls in flight; and the numbers why.
+
+        A call over to another zone costs as much as a short queue at home.
+        """
         first = self._draw(pool)
         drawn = [first]
         if len(pool) > 1:
             drawn.append(self._draw([s for s in pool if s is not first]))
-            drawn.sort(key=lambda s: s.load(now))
+            drawn.sort(key=lambda s: s.load(now) + AWAY_CALLS * self._away(s))
         return drawn[0], tuple(i.Draw(s.entry.id, s.share, s.load(now)) for s in drawn)
 
     # Request life
@@ -724,7 +737,10 @@
         instances = max(1, self.settings.instances)
         size = max(SUBSET_LEAST, math.ceil(SUBSET_COVER * len(up) / instances))
         first = self.settings.index * len(up) // instances
-        self.subset = (up[first:] + up[:first])[:size]
+        ring = up[first:] + up[:first]
+        home = [s for s in ring if not self._away(s)][:size]
+        away = [s for s in ring if self._away(s)]
+        self.subset = home + away[: max(AWAY_LEAST, size - len(home))]
         before, self.fan = self.fan, max(1.0, instances * len(self.subset) / max(1, len(up)))
         # Guards against all balancers together jamming the backends before the first late answers.
         start = max(LIMIT_START, min(LIMIT_MANY, self.fan))
--- a/snowvalve/interface.py
+++ b/snowvalve/interface.py
@@ -146,6 +146,8 @@
     least_class: float = 0.0  # part of the goal that the least served class makes up
     instances: int = 1  # balancers that send to the same backends
     index: int = 0  # this one's number among them, from 0
+    zone: str = ""  # where this one is
+    cross_zone: float = 0.0  # price of an attempt that leaves its zone, as a share of a request's worth
     must_subscribe: bool = False  # the list comes only to those who ask
     tick_us: int = 1_000  # events are handed over at this interval
 
@@ -158,6 +160,7 @@
         require(0 <= self.least_class <= 1, "least_class", "is outside 0 to 1")
         require(self.instances >= 1, "instances", "is below one")
         require(0 <= self.index < self.instances, "index", "is not below instances")
+        require(self.cross_zone >= 0, "cross_zone", "is negative")
         require(self.tick_us >= 0, "tick_us", "is negative")
 
 
--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -96,6 +96,8 @@
             least_class=optional(optional(raw, "resultMix", {}, top), "worstClass", 0.0, top + "resultMix."),
             instances=optional(raw, "instances", 1, top),
             index=optional(raw, "index", 0, top),
+            zone=optional(raw, "zone", "", top),
+            cross_zone=optional(optional(raw, "deductions", {}, top), "crossZone", 0.0, top + "deductions."),
             must_subscribe=optional(raw, "registryMode", "automatic", top) == "subscribe",
             tick_us=optional(raw, "tickUs", 1_000, top),
         )
--- a/tests/test_picker.py
+++ b/tests/test_picker.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from snowvalve import interface as i
-from snowvalve.decide import SUBSET_LEAST
+from snowvalve.decide import AWAY_CALLS, AWAY_LEAST, SUBSET_LEAST, Attempt
 from tests.helpers import MS, Hand, S, only, settings
 
 
@@ -107,3 +107,41 @@
         again = only(hand.end(send, outcome), i.Send)
         assert hand.balancer.servers[0].detector.mean == mean
         assert len(hand.balancer.servers[0].calls) == len(again)
+
+
+ZONES = tuple(i.Backend(n, zone="abc"[n % 3]) for n in range(12))
+
+
+def home_calls(price: float, busy: int = 0) -> int:
+    """Of 200 requests, one after another, those that stay in zone a, its backends busy beforehand."""
+    hand = Hand(settings(zone="a", cross_zone=price, limits=i.Limits(max_attempts=3)), backends=0)
+    hand.news(*ZONES)
+    hand.balancer.room = 20.0
+    hand.balancer._split()
+    read = hand.balancer.classes["read"]
+    for server in hand.balancer.servers.values():
+        if server.entry.zone == "a":
+            server.calls = [Attempt(server, read, hand.now, 5 * S) for _ in range(busy)]
+    stayed = 0
+    for n in range(200):
+        [send] = only(hand.request(f"r{n}"), i.Send)
+        stayed += hand.balancer.servers[send.backend].entry.zone == "a"
+        hand.end(send, i.Outcome.OK)
+    return stayed
+
+
+def test_calls_stay_in_their_zone_where_leaving_it_has_a_price() -> None:
+    assert home_calls(price=0.05) > 120 > 100 > home_calls(price=0.0)
+
+
+def test_a_busy_zone_sends_its_calls_over_to_others() -> None:
+    assert home_calls(price=0.05, busy=AWAY_CALLS + 2) < 80
+
+
+def test_the_subset_holds_the_own_zone_and_a_way_out() -> None:
+    hand = Hand(settings(zone="a", cross_zone=0.05, instances=3), backends=0)
+    hand.news(*ZONES)
+    zones = Counter(s.entry.zone for s in hand.balancer.subset)
+    assert zones["a"] == 4 and zones["b"] + zones["c"] >= AWAY_LEAST
+    hand.news(*(s for s in ZONES if s.zone != "a"), version=2)  # none of its own is left
+    assert len(hand.balancer.subset) >= SUBSET_LEAST
