Leave silent backends in time for another attempt where probes are forbidden

An attempt's limit was all the useful time of its request, so a call on a backend that answers nothing took the request along. Now a repeatable one is made again elsewhere after three times the usual time.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -60,6 +60,9 @@
 REPORT_NOISE = 1.2  # and too low by this factor
 SHUN_US = 5_000_000  # one that lost or failed a call of a class is passed over for it this long, microseconds
 MISSED = 2  # questions without an answer after which it counts as silent: one may meet a pause
+# Where none may be asked, a call out for this many times what its class usually takes is made again
+# elsewhere if its backend has answered nothing at all since it was sent.
+SILENT = (3.0, 0)
 LOOK_US = 100_000  # calls in flight are looked at this often, microseconds
 ASK_US = 400_000  # first wait before the next question, doubled each time: most such calls are just long
 ASK_SILENT_US = 500_000  # a silent one is asked this often, microseconds
@@ -149,6 +152,7 @@
         self.rests_until = 0  # no further call before, where the limit is below one
         self.ghosts: list[int] = []  # until when failed calls still count as in flight
         self.shunned: dict[str, int] = {}  # until when, by class: it lost or failed a call of that class
+        self.answered_at = 0  # when it last answered anything
         self.asking = False  # a probe is out
         self.asked_at = 0
         self.ask_wait = 0  # the next question comes no sooner after the last
@@ -258,6 +262,7 @@
     def __init__(self, server: Server, cls: ClassState, sent_at: int, timeout_us: int) -> None:
         self.server, self.cls, self.sent_at, self.timeout_us = server, cls, sent_at, timeout_us
         self.outcome: i.Outcome | None = None  # none while it is out
+        self.abandoned = False  # given up, its end still to come
 
     def hangs(self, now: int, limit: tuple[float, int]) -> bool:
         times, least = limit
@@ -510,6 +515,8 @@
             return
         server, cls = attempt.server, attempt.cls
         ok = event.outcome is i.Outcome.OK
+        if event.outcome in (i.Outcome.OK, i.Outcome.ERROR, i.Outcome.REJECTED):
+            server.answered_at = now
         took = event.took_us if ok else attempt.timeout_us
         if server.sample(took / cls.norm):
             d = server.detector
@@ -563,7 +570,7 @@
     def _cancel(self, life: Life) -> None:
         if self.settings.limits.cancel:
             for number, attempt in enumerate(life.attempts):
-                if attempt.outcome is None:
+                if attempt.outcome is None and not attempt.abandoned:
                     self.actions.append(i.Cancel(life.id, number))
 
     # Admission
@@ -646,7 +653,7 @@
     # Lost answers
 
     def _look_later(self, now: int) -> None:
-        if not self.look_timer and self.settings.limits.probing and self.settings.limits.cancel:
+        if not self.look_timer and self.settings.limits.cancel:
             self.look_timer = self._set_timer(now + LOOK_US, None)
 
     def _suspect_limit(self, now: int) -> tuple[float, int]:
@@ -654,6 +661,9 @@
 
     def _look(self, now: int) -> None:
         """Asks backends whose calls hang: an answer that was lost on the way never tells by itself."""
+        if not self.settings.limits.probing:
+            self._leave_silent(now)
+            return
         silent = [s for s in self.servers.values() if s.silent]
         for server in dict.fromkeys([*silent, *(a.server for a in self.out.values())]):
             if server.suspect(now, self._suspect_limit(now)):
@@ -661,6 +671,29 @@
         if self.out or silent:
             self._look_later(now)
 
+    def _leave_silent(self, now: int) -> None:
+        """Gives up calls on silent backends in time for another attempt, where one may be made.
+
+        Guards against a backend that takes calls and answers none: each would hang until its request
+        is lost. One that is only slow or crowded goes on answering, and a further copy would crowd it more.
+        """
+        purse = self.purse
+        for (id, _), attempt in list(self.out.items()):
+            life = self.lives.get(id)
+            if life is None or life.streaming or attempt.abandoned or not attempt.hangs(now, SILENT):
+                continue
+            late = (
+                now + life.cls.norm > life.useful_by
+                or len(life.attempts) >= self.settings.limits.max_attempts
+            )
+            if late or purse < 1.0 or attempt.server.answered_at >= attempt.sent_at:
+                continue
+            if any(s is not attempt.server and self._open(now, s) for s in self._legal(now, life)):
+                purse -= 1.0
+                self._abandon(now, attempt)
+        if self.out:
+            self._look_later(now)
+
     def _ask(self, now: int, server: Server) -> None:
         server.asking, server.asked_at = True, now
         server.ask_wait = max(ASK_US, 2 * server.ask_wait)
@@ -701,6 +734,8 @@
         """Gives up waiting for an answer; what follows waits for the attempt's end."""
         attempt.server.sample(attempt.timeout_us / attempt.cls.norm)
         attempt.server.shunned[attempt.cls.settings.name] = now + SHUN_US
+        attempt.server.ghosts.append(now + int(attempt.cls.norm))
+        attempt.abandoned = True
         key = next(key for key, out in self.out.items() if out is attempt)
         self.actions.append(i.Cancel(*key))
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -34,6 +34,28 @@
     assert not only(hand.done, i.Cancel)  # it holds the request, so it is only long
 
 
+@pytest.mark.parametrize(
+    ("cls", "answers", "again"), [("read", False, True), ("read", True, False), ("pay", False, False)]
+)
+def test_where_none_may_be_asked_a_silent_backend_is_left_in_time(
+    cls: str, answers: bool, again: bool
+) -> None:
+    """One that answers others meanwhile is only slow, and what must not run twice waits all the same."""
+    hand = Hand(backends=2)
+    [send] = only(hand.request("a", cls), i.Send)
+    hand.now += 100 * MS
+    others = [s for n in range(6) for s in only(hand.request(f"b{n}"), i.Send)]
+    for other in others:
+        if answers or other.backend != send.backend:
+            hand.end(other, i.Outcome.OK, took=1 * MS)
+    norm = hand.balancer.classes[cls].norm
+    cancels = [c for c in only(hand.pass_time(int(3 * norm) + 200 * MS), i.Cancel) if c.request == "a"]
+    assert cancels == ([i.Cancel("a", 0)] if again else [])
+    if again:
+        [resend] = only(hand.end(send, i.Outcome.CANCELLED), i.Send)
+        assert resend.request == "a" and resend.backend != send.backend
+
+
 def test_one_that_holds_fewer_than_we_wait_for_has_lost_an_answer() -> None:
     hand = Hand(PROBING)
     [first] = only(hand.request("a"), i.Send)
