Read lists from discovery that are indented or cut anywhere

Seen by a test on a loopback watch: a list laid out over several lines ended the watch ("not JSON: Expecting property name", line 1), and so did each watch after it, so that nothing of that list ever reached the module.

At fault: discovery.py, `_take_lines`, which took each line's end for a list's end.

Ruled out: the HTTP side; chunks cut inside of a line were put together rightly before.

The watch now cuts its text where the outermost brace closes, outside of strings; an empty line between lists is a beat as before. The test lays lists out three ways, with braces and quotes in strings, and cuts them into pieces of 1, 7 and 65536 bytes; without the mend all three fail.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -6,7 +6,8 @@
 import hashlib
 import json
 import logging
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import h11
@@ -18,7 +19,7 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # a watch beats every 2 s: after two missed beats it is dead
-LINE_MOST = 4 * 1024 * 1024  # bytes; guards memory against a line without an end
+TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
 STATES = {
     "in_service": i.Condition.UP,
     "terminating": i.Condition.DRAINING,
@@ -80,6 +81,47 @@
     return TargetList(version, full, tuple(backends), addresses, uids)
 
 
+class Texts:
+    """Cuts what comes into lists and beats. A list may be indented, so its braces tell where it ends."""
+
+    _OUTSIDE = re.compile(rb'[][{}"\n]')  # of a string
+    _INSIDE = re.compile(rb'["\\]')
+
+    def __init__(self) -> None:
+        self._text = bytearray()
+        self._seen = 0  # bytes of it that have been looked at
+        self._depth = 0
+        self._in_string = False
+
+    def take(self, data: bytes) -> Iterator[bytes]:
+        """The text of each list that is whole now, and an empty one for each beat."""
+        self._text += data
+        while found := (self._INSIDE if self._in_string else self._OUTSIDE).search(self._text, self._seen):
+            self._seen = found.end()
+            match found[0]:
+                case b"\\":
+                    self._seen += 1  # whatever follows, it ends no string
+                case b'"':
+                    self._in_string = not self._in_string
+                case b"{" | b"[":
+                    self._depth += 1
+                case b"}" | b"]":
+                    self._depth -= 1
+                    if self._depth <= 0:
+                        yield self._cut()
+                case _ if self._depth == 0:
+                    yield self._cut()
+        self._seen = max(self._seen, len(self._text))
+        if len(self._text) > TEXT_MOST:
+            raise WatchBroken("a list without an end")
+
+    def _cut(self) -> bytes:
+        text = bytes(self._text[: self._seen]).strip()
+        del self._text[: self._seen]
+        self._seen = self._depth = 0
+        return text
+
+
 class Watch:
     """One watch at a time. Each list goes to `on_list`; each end, but by `close`, to `on_broken`."""
 
@@ -132,7 +174,7 @@
                 method="GET", target=f"/v1/endpoints?follow=1{since}", headers=[("Host", host)]
             )
             writer.write(http.send(head) + http.send(h11.EndOfMessage()))
-            lines = bytearray()
+            texts = Texts()
             while True:
                 async with asyncio.timeout(self._silence_s):
                     http.receive_data(await reader.read(65536))
@@ -143,24 +185,19 @@
                         case h11.Response():
                             raise WatchBroken(f"status {event.status_code}")
                         case h11.Data():
-                            lines += event.data
-                            self._take_lines(lines)
+                            for text in texts.take(event.data):
+                                self._take(text)
                         case _:
                             raise WatchBroken("ended")
         finally:
             writer.transport.abort()
 
-    def _take_lines(self, lines: bytearray) -> None:
-        while (end := lines.find(b"\n")) >= 0:
-            line = bytes(lines[:end]).strip()
-            del lines[: end + 1]
-            if not line:
-                continue
-            try:
-                news = read_list(json.loads(line))
-            except ValueError as error:
-                raise WatchBroken(f"not JSON: {error}") from None
-            self.since = news.version
-            self._on_list(news)
-        if len(lines) > LINE_MOST:
-            raise WatchBroken("a line without an end")
+    def _take(self, text: bytes) -> None:
+        if not text:
+            return
+        try:
+            news = read_list(json.loads(text))
+        except ValueError as error:
+            raise WatchBroken(f"not JSON: {error}") from None
+        self.since = news.version
+        self._on_list(news)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -101,6 +102,37 @@
     run(test)
 
 
+@pytest.mark.parametrize("cut", [1, 7, 65536])
+def test_lists_come_indented_and_cut_anywhere(cut: int) -> None:
+    """Only braces outside of strings tell where a list ends; a line's end within one tells nothing."""
+    odd = {**entry("s-1", 9), "note": 'a "brace\\" } and ] in {words}, \\ and a line\n'}
+    lists = [
+        listing(odd, entry("s-2", 9), rev=41),
+        listing(entry("s-1", 9, "terminating"), rev=42, full=False),
+        listing(rev=43, full=False),
+    ]
+    text = (
+        "\n".join("\n" + json.dumps(news, indent=by) for news, by in zip(lists, (2, None, 1), strict=True))
+        + "\n"
+    )
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await ask(reader)
+        writer.write(WATCH_HEAD)
+        for at in range(0, len(text), cut):
+            writer.write(chunk(text[at : at + cut]))
+        await reader.read()
+
+    async def test() -> None:
+        async with peer(handle) as d:
+            w = Watched(d)
+            got = [await w.news.get() for _ in lists]
+            assert [(news.version, len(news.backends)) for news in got if news] == [(41, 2), (42, 1), (43, 0)]
+            w.watch.close()
+
+    run(test)
+
+
 def test_a_silent_watch_is_dead_and_a_beating_one_is_not() -> None:
     async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await ask(reader)
