Take a watch for silent that brings bytes but no whole list or beat

Seen by a test: on a watch that had brought a list and then only pieces of another, 25 s apart each, the silence limit of 60 s never ran out. Real bytes kept it alive, and nothing of them reached the module.

At fault: discovery.py, `_follow`, where each read had the whole limit for itself.

The limit now runs from the last list or beat that came whole, or from the request. The test steps the loop's clock and waits for nothing; it hangs until its patience ends without the mend.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -174,9 +174,10 @@
                 method="GET", target=f"/v1/endpoints?follow=1{since}", headers=[("Host", host)]
             )
             writer.write(http.send(head) + http.send(h11.EndOfMessage()))
-            texts = Texts()
+            texts, loop = Texts(), asyncio.get_running_loop()
+            silent_at = loop.time() + self._silence_s
             while True:
-                async with asyncio.timeout(self._silence_s):
+                async with asyncio.timeout_at(silent_at):
                     http.receive_data(await reader.read(65536))
                 while (event := http.next_event()) is not h11.NEED_DATA:
                     match event:
@@ -187,6 +188,8 @@
                         case h11.Data():
                             for text in texts.take(event.data):
                                 self._take(text)
+                                # Pieces of a list don't count: dribbling bytes may never make one.
+                                silent_at = loop.time() + self._silence_s
                         case _:
                             raise WatchBroken("ended")
         finally:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -185,11 +185,38 @@
             connection.transport.abort()
 
 
+class SteppedClock:
+    """The running loop's clock, which a test can move on by hand: what falls due then fires at once."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        real, self.ahead = loop.time, 0.0
+        loop.time = lambda: real() + self.ahead  # type: ignore[method-assign]
+
+    def step(self, seconds: float) -> None:
+        self.ahead += seconds
+        bound = BOUND[-1]
+        bound.reschedule((bound.when() or 0.0) + seconds)  # the test's own patience is in real time
+
+
+BOUND: list[asyncio.Timeout] = []  # on the tests that run
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Lets the loop run until something holds."""
+    while not holds():
+        await asyncio.sleep(0)
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     """Runs an asynchronous test, with an end to its patience."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            await test()
+        async with asyncio.timeout(PATIENCE_S) as bound:
+            BOUND.append(bound)
+            try:
+                await test()
+            finally:
+                BOUND.pop()
 
     asyncio.run(bounded())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,6 +14,7 @@
 from tests.net_helpers import (
     WATCH_HEAD,
     Peer,
+    SteppedClock,
     answer,
     backend,
     call,
@@ -25,6 +26,7 @@
     proxy,
     read_message,
     run,
+    until,
 )
 
 
@@ -152,6 +154,34 @@
     run(test)
 
 
+def test_bytes_that_never_make_a_line_are_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    read = bytearray()
+    feed = asyncio.StreamReader.feed_data
+
+    def note(reader: asyncio.StreamReader, data: bytes) -> None:
+        read.extend(data)
+        feed(reader, data)
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await ask(reader)
+        writer.write(WATCH_HEAD + chunk_list(listing(entry("s-1", 9))) + chunk('{"rev":2,'))
+        await reader.read()
+
+    async def test() -> None:
+        clock = SteppedClock()
+        async with peer(handle) as d:
+            w = Watched(d, silence_s=60.0)
+            assert await w.news.get() is not None
+            monkeypatch.setattr(asyncio.StreamReader, "feed_data", note)
+            for n in range(1, 4):
+                clock.step(25.0)
+                d.writers[0].write(chunk("-"))
+                await until(lambda n=n: read.count(b"-") == n or not w.news.empty())  # type: ignore[misc]
+            assert await w.news.get() is None
+
+    run(test)
+
+
 def test_a_uid_has_the_same_number_everywhere() -> None:
     assert backend_number("s-5be2a07c") == backend_number("s-5be2a07c") != backend_number("s-5be2a07d")
     assert backend_number("s-5be2a07c") == 45325253487234402
