Know a silent watch sooner, and at once where it never begins

Seen by tests with a stepped clock: a watch that fell silent and whose successor was accepted and got nothing brought its list 9.4 s after the silence began, where it counts as told after 6 s; a watch moved by a new configuration to an address that was silent at first took 4.5 s and more, where 4 s are given.

At fault: discovery.py, `SILENCE_S` = 4.5 s, used for a watch that has not begun as for one that beats.

Ruled out: an agent that has nothing to say in the first line.

The first text is now due 1 s after the request and each later one 3 s after the one before, a beat being due every 2 s. That leaves room for a second attempt within either limit.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -18,7 +18,10 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 4.5  # a watch beats every 2 s: after two missed beats it is dead
+# What a silent watch misses counts as told after 6 s, and 4 s after a move. So one that misses a beat, due
+# every 2 s, has another second; the first text is due at once, as the agent is on this machine.
+SILENCE_S = 3.0
+ANSWER_S = 1.0
 TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
 STATES = {
     "in_service": i.Condition.UP,
@@ -131,9 +134,10 @@
         on_list: Callable[[TargetList], None],
         on_broken: Callable[[], None],
         silence_s: float = SILENCE_S,
+        answer_s: float = ANSWER_S,
     ) -> None:
         self._address, self._on_list, self._on_broken = address, on_list, on_broken
-        self._silence_s = silence_s
+        self._silence_s, self._answer_s = silence_s, answer_s
         self._task: asyncio.Task[None] | None = None
         self.since: int | None = None  # the version that we hold
 
@@ -164,7 +168,9 @@
         self._on_broken()
 
     async def _follow(self) -> None:
-        async with asyncio.timeout(self._silence_s):
+        loop = asyncio.get_running_loop()
+        silent_at = loop.time() + self._answer_s
+        async with asyncio.timeout_at(silent_at):
             reader, writer = await asyncio.open_connection(*self._address)
         try:
             http = h11.Connection(h11.CLIENT)
@@ -174,8 +180,7 @@
                 method="GET", target=f"/v1/endpoints?follow=1{since}", headers=[("Host", host)]
             )
             writer.write(http.send(head) + http.send(h11.EndOfMessage()))
-            texts, loop = Texts(), asyncio.get_running_loop()
-            silent_at = loop.time() + self._silence_s
+            texts = Texts()
             while True:
                 async with asyncio.timeout_at(silent_at):
                     http.receive_data(await reader.read(65536))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 import pytest
 
@@ -13,6 +14,7 @@
 from tests.helpers import settings
 from tests.net_helpers import (
     WATCH_HEAD,
+    Handler,
     Peer,
     SteppedClock,
     answer,
@@ -38,10 +40,10 @@
 class Watched:
     """A watch, and what came of it."""
 
-    def __init__(self, on: Peer, silence_s: float = 5.0) -> None:
+    def __init__(self, on: Peer, silence_s: float = 60.0) -> None:
         self.news: asyncio.Queue[TargetList | None] = asyncio.Queue()
         self.watch = Watch(
-            ("127.0.0.1", on.port), self.news.put_nowait, lambda: self.news.put_nowait(None), silence_s
+            ("127.0.0.1", on.port), self.news.put_nowait, lambda: self.news.put_nowait(None), silence_s, 60.0
         )
         self.watch.start()
 
@@ -182,6 +184,64 @@
     run(test)
 
 
+async def step_until(clock: SteppedClock, holds: Callable[[], bool]) -> None:
+    """Moves the clock on in small steps, each with time for what it sets off."""
+    while not holds():
+        clock.step(0.05)
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+
+def silent_watches(*silent: int) -> Handler:
+    """Brings a list to each connection and then no more; those of these numbers get nothing at all."""
+    seen: list[str] = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        seen.append(await ask(reader))
+        if len(seen) not in silent:
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("s-1", 9), rev=len(seen))))
+        await reader.read()
+
+    return handle
+
+
+@pytest.mark.parametrize("must_subscribe", [False, True])
+def test_a_silent_watch_is_made_good_in_time_though_the_next_one_is_silent_at_once(
+    must_subscribe: bool,
+) -> None:
+    """What it misses counts as told 6 s after it fell silent."""
+
+    async def test() -> None:
+        clock = SteppedClock()
+        setup = settings(must_subscribe=must_subscribe)
+        async with peer(silent_watches(2)) as d, proxy(discovery=d.port, setup=setup) as p:
+            await until(lambda: p.driver._watch.since == 1)
+            await step_until(clock, lambda: p.driver._watch.since == 3)
+            assert clock.ahead < 6.0
+
+    run(test)
+
+
+@pytest.mark.parametrize("must_subscribe", [False, True])
+def test_a_moved_watch_is_made_good_in_time_though_it_is_silent_at_once(must_subscribe: bool) -> None:
+    """After SIGHUP whatever discovery has to tell counts as told 4 s later."""
+
+    async def test() -> None:
+        clock = SteppedClock()
+        setup = settings(must_subscribe=must_subscribe)
+        async with (
+            peer(silent_watches()) as old,
+            peer(silent_watches(1, 2)) as new,
+            proxy(discovery=old.port, setup=setup) as p,
+        ):
+            await until(lambda: p.driver._watch.since == 1)
+            p.driver.move_discovery(("127.0.0.1", new.port))
+            await step_until(clock, lambda: p.driver._watch.since == 3)
+            assert clock.ahead < 4.0
+
+    run(test)
+
+
 def test_a_uid_has_the_same_number_everywhere() -> None:
     assert backend_number("s-5be2a07c") == backend_number("s-5be2a07c") != backend_number("s-5be2a07d")
     assert backend_number("s-5be2a07c") == 45325253487234402
