Say in the log that a watch broke because it was silent

An exception without a text is still true, so `error or type(error).__name__` (discovery.py, `_run`) never came to the name.

The test that looks for the word also steps the clock now instead of sleeping; it is as strict about beats.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -161,7 +161,7 @@
         try:
             await self._follow()
         except (WatchBroken, OSError, TimeoutError, h11.RemoteProtocolError, WireError) as error:
-            log.warning("watch on discovery broke: %s", error or type(error).__name__)
+            log.warning("watch on discovery broke: %s", str(error) or "silent")
         except Exception:
             log.exception("watch on discovery failed")
         self._task = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -137,21 +137,26 @@
     run(test)
 
 
-def test_a_silent_watch_is_dead_and_a_beating_one_is_not() -> None:
-    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await ask(reader)
-        writer.write(WATCH_HEAD)
-        for _ in range(8):
-            writer.write(chunk("\n"))
-            await asyncio.sleep(0.1)
-        writer.write(chunk_list(listing(entry("s-1", 9))))
-        await reader.read()  # and says nothing more
-
+def test_a_silent_watch_is_dead_and_a_beating_one_is_not(caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await ask(reader)
+            writer.write(WATCH_HEAD)
+            for _ in range(8):
+                clock.step(40.0)
+                writer.write(chunk("\n"))
+                for _ in range(20):  # for it to be read
+                    await asyncio.sleep(0)
+            writer.write(chunk_list(listing(entry("s-1", 9))))
+            await reader.read()  # and says nothing more
+
+        clock = SteppedClock()
         async with peer(handle) as d:
-            w = Watched(d, silence_s=0.5)
+            w = Watched(d, silence_s=60.0)
             assert await w.news.get() is not None
+            clock.step(61.0)
             assert await w.news.get() is None
+            assert "broke: silent" in caplog.text
 
     run(test)
 
