Open a broken watch at once where lists are pushed

Seen by a test: after its third failure in a row the module waited for 0.9 to 1.25 s, with no watch open, before it asked for the list again. Where lists are pushed, what discovery's agent has counts as told whether or not a watch is open, and sends to a draining backend must end 0.25 s later: an agent that came back within such a wait was heard up to 1 s too late.

At fault: decide.py, `_on_list`, which kept discovery from being asked too often also where asking is free.

Ruled out: a wait that is needed to spare the agent. It is the proxy's own and answers at no cost.

A watch that broke is now opened at once, and ten times a second at the most while that fails.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -71,7 +71,8 @@
 COLD_SAFETY = 0.7  # share of a cold backend's budget that is used
 COLD_BURST = 2.0  # sends to a cold backend that may follow each other at once
 RATE_TAU_US = 2_000_000  # memory of the rate of own sends, microseconds
-BACKOFF_US = 500_000  # first wait before asking for the list again, microseconds
+PUSHED_US = 100_000  # where lists are pushed, the watch is opened this often, microseconds
+BACKOFF_US = 500_000  # first wait before asking for the list again elsewhere, microseconds
 BACKOFF_JITTER = 0.3  # share of such a wait that chance may take off
 BACKOFF_SHARE = 0.125  # longest such wait, as a share of the time within which we must ask
 
@@ -312,6 +313,7 @@
         self.held: list[tuple[float, int, int, str]] = []  # best first: -value, arrival, order, id
         self.timers: dict[int, str | None] = {}  # a request's deadline; none: look at the held ones
         self.subscribe_timer = -1
+        self.subscribed_at = 0
         self.pump_set = False
         self.look_timer = 0
         self.serial = 0
@@ -644,6 +646,7 @@
             self.look_timer = 0
             self._look(now)
         elif timer == self.subscribe_timer:
+            self.subscribed_at = now
             self.actions.append(i.Subscribe())
         elif what is None:
             self.pump_set = False
@@ -743,12 +746,7 @@
 
     def _on_list(self, now: int, news: i.ListNews) -> None:
         if news.form is i.ListForm.FAILED:
-            # Which question failed is not told, so ask again, later each time, always within bounds.
-            # Guards against all balancers asking at the same moment when discovery is back.
-            wait = int(self.backoff * self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0))
-            self.subscribe_timer = self._set_timer(now + wait, None)
-            longest = int(BACKOFF_SHARE * self.settings.rules.must_ask_us)
-            self.backoff = min(2 * self.backoff, max(BACKOFF_US, longest))
+            self._ask_again(now)
             return
         if news.form is not i.ListForm.REMEMBERED:
             self.backoff = BACKOFF_US
@@ -782,6 +780,19 @@
         self.room = (self.room * before if self.room else start) / self.fan
         self._split()
 
+    def _ask_again(self, now: int) -> None:
+        """Which question failed is not told, so asks again in any case."""
+        if not self.settings.must_subscribe:
+            # What has been pushed counts as told though no watch stands, and opening one is free.
+            self.subscribe_timer = self._set_timer(max(now, self.subscribed_at + PUSHED_US), None)
+            return
+        # Later each time, always within bounds. Guards against all balancers asking at the same moment
+        # when discovery is back.
+        wait = int(self.backoff * self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0))
+        self.subscribe_timer = self._set_timer(now + wait, None)
+        longest = int(BACKOFF_SHARE * self.settings.rules.must_ask_us)
+        self.backoff = min(2 * self.backoff, max(BACKOFF_US, longest))
+
     def _admit(self, now: int, entry: i.Backend) -> None:
         """Takes over an entry. A backend that has restarted under its id starts afresh."""
         known = self.servers.get(entry.id)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -210,18 +210,18 @@
     return handle
 
 
-@pytest.mark.parametrize("must_subscribe", [False, True])
-def test_a_silent_watch_is_made_good_in_time_though_the_next_one_is_silent_at_once(
-    must_subscribe: bool,
+@pytest.mark.parametrize(("must_subscribe", "silent"), [(False, (2, 3)), (True, (2,))])
+def test_a_silent_watch_is_made_good_in_time_though_the_next_ones_are_silent_at_once(
+    must_subscribe: bool, silent: tuple[int, ...]
 ) -> None:
     """What it misses counts as told 6 s after it fell silent."""
 
     async def test() -> None:
         clock = SteppedClock()
         setup = settings(must_subscribe=must_subscribe)
-        async with peer(silent_watches(2)) as d, proxy(discovery=d.port, setup=setup) as p:
+        async with peer(silent_watches(*silent)) as d, proxy(discovery=d.port, setup=setup) as p:
             await until(lambda: p.driver._watch.since == 1)
-            await step_until(clock, lambda: p.driver._watch.since == 3)
+            await step_until(clock, lambda: p.driver._watch.since == 2 + len(silent))
             assert clock.ahead < 6.0
 
     run(test)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -27,6 +27,21 @@
     assert min(waits[3:]) >= waits[1] * (1 - BACKOFF_JITTER)
 
 
+def test_where_lists_are_pushed_a_broken_watch_is_opened_at_once_and_then_ten_times_a_second() -> None:
+    """What discovery's agent has counts as told whether or not a watch is open, and asking it is free."""
+    hand, waits = Hand(), []
+    for n in range(20):
+        hand.news(form=i.ListForm.FAILED)
+        asked_at = hand.now
+        while not only(hand.pass_time(10 * MS), i.Subscribe):
+            assert hand.now - asked_at < S
+        waits.append(hand.now - asked_at)
+        if n == 9:
+            hand.pass_time(S)
+    assert waits[0] <= 10 * MS and waits[10] <= 10 * MS
+    assert all(80 * MS <= wait <= 100 * MS for wait in waits[1:10] + waits[11:])
+
+
 def test_balancers_whose_watches_break_together_ask_again_apart() -> None:
     asked_at = []
     for seed in range(20):
