Hold a watch's end against its being moved or closed in the same moment

A lead from reading, ruled out: `_run` clears `_task` as it ends, so a move or close in the moment in which the watch's last bytes or its end have arrived, and its task has not run yet, might have left two watches or none. It does not: the cancel reaches the task at the read that has just come through, and nothing behind that runs.

The test forces that moment with a hook on the stream's own feeding, for a list, for bytes that are none and for the end, with both. It fails if `close` does not cancel; nothing is changed in the program.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -42,6 +42,7 @@
 
     def __init__(self, on: Peer, silence_s: float = 60.0) -> None:
         self.news: asyncio.Queue[TargetList | None] = asyncio.Queue()
+        self.crossed = False
         self.watch = Watch(
             ("127.0.0.1", on.port), self.news.put_nowait, lambda: self.news.put_nowait(None), silence_s, 60.0
         )
@@ -247,6 +248,53 @@
     run(test)
 
 
+@pytest.mark.parametrize("said", [chunk_list(listing(entry("s-2", 9), rev=2)), chunk("nonsense\n"), b""])
+@pytest.mark.parametrize("then", ["move", "close"])
+def test_a_watch_that_ends_as_it_is_moved_or_closed_ends_once(
+    said: bytes, then: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old one's last bytes, or its end, have woken its task, which has not run yet."""
+
+    async def test() -> None:
+        async def old(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await ask(reader)
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("s-1", 9), rev=1)))
+            await go_on.wait()
+            writer.write(said)
+
+        go_on = asyncio.Event()
+        async with peer(old) as d, peer(silent_watches()) as e:
+            w = Watched(d)
+            first = await w.news.get()
+            assert first and first.version == 1
+
+            def cross(name: str) -> None:
+                step = getattr(asyncio.StreamReader, name)
+
+                def crossed(reader: asyncio.StreamReader, *data: bytes) -> None:
+                    step(reader, *data)
+                    if go_on.is_set() and not w.crossed:
+                        w.crossed = True
+                        w.watch.close() if then == "close" else w.watch.move(("127.0.0.1", e.port))
+
+                monkeypatch.setattr(asyncio.StreamReader, name, crossed)
+
+            cross("feed_data")
+            cross("feed_eof")
+            go_on.set()
+            await until(lambda: w.crossed)
+            if then == "move":
+                second = await w.news.get()
+                assert second and (second.version, e.connections) == (1, 1)
+                assert w.watch._task is not None
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert w.news.empty() and d.connections == 1
+            w.watch.close()
+
+    run(test)
+
+
 def test_a_uid_has_the_same_number_everywhere() -> None:
     assert backend_number("s-5be2a07c") == backend_number("s-5be2a07c") != backend_number("s-5be2a07d")
     assert backend_number("s-5be2a07c") == 45325253487234402
