Listen only once discovery has said what there is, or has failed to

Seen by a test: a new process listened and served by the list in its configuration while its first question to discovery was still out. Clients do come so early: the front notices only some seconds later that a proxy has died, and goes on connecting.

At fault: __main__.py, `serve`, which listened before `driver.start`, and did not wait for the answer.

Ruled out: `/ready` as the gate. It keeps new clients away, not those whose front has not noticed the restart.

An end that comes meanwhile ends it with code 0.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -129,6 +129,14 @@
         self._config = replace(self._config, discovery=new.discovery)
 
 
+async def first_of(*events: asyncio.Event) -> None:
+    """Waits until one of these is set."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 async def serve(config: Config, source: Source) -> None:
     """One proxy, until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -141,10 +149,14 @@
     driver = Driver(config.settings, config.seed, pool, config.discovery)
     loop.add_signal_handler(signal.SIGHUP, Reloader(source, config, driver).reload)
     frontend = Frontend(driver, {c.name: c for c in config.settings.classes}, callers)
-    where = frontend.listen(config.listen)
     driver.start(config.known)
     gc.collect()
     gc.freeze()  # what lives for good is not looked through again: shorter pauses
+    # What discovery's agent has counts as told from our first moment on, and what was known may be old.
+    await first_of(driver.informed, stop)
+    if stop.is_set():
+        return
+    where = frontend.listen(config.listen)
     log.info("%s listens on %s:%d", config.name, *where)
 
     await stop.wait()
--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -69,7 +69,8 @@
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
         self._pool = pool
-        self._watch = Watch(discovery, self._on_list, lambda: self._feed(i.ListNews(i.ListForm.FAILED)))
+        self._watch = Watch(discovery, self._on_list, self._on_broken)
+        self.informed = asyncio.Event()  # discovery has said what there is, or has failed to
         self._balancer = Balancer(settings, seed)
         self._events: deque[i.Event] = deque()
         self._busy = False
@@ -173,7 +174,12 @@
         self._timers.pop(timer, None)
         self._feed(i.TimerFired(timer))
 
+    def _on_broken(self) -> None:
+        self.informed.set()
+        self._feed(i.ListNews(i.ListForm.FAILED))
+
     def _on_list(self, news: TargetList) -> None:
+        self.informed.set()
         self._take_addresses(news)
         form = i.ListForm.FULL if news.full else i.ListForm.CHANGES
         self._feed(i.ListNews(form, news.version, news.backends))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tomllib
 from collections.abc import AsyncIterator
@@ -229,6 +230,57 @@
     run(test)
 
 
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port: int = free.getsockname()[1]
+        return port
+
+
+@pytest.mark.parametrize("then", ["list", "silence", "SIGTERM"])
+def test_it_listens_once_discovery_has_said_what_there_is(tmp_path: Path, then: str) -> None:
+    """What its agent has counts as told from the first moment on, and what was known before may be old.
+
+    Where discovery is silent, what is known has to do, and an end that comes meanwhile is one.
+    """
+
+    async def test() -> None:
+        asked, go_on = asyncio.Event(), asyncio.Event()
+
+        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            await go_on.wait()
+            now = listing(entry("a", a.port, "terminating"), entry("b", b.port), rev=2)
+            writer.write(WATCH_HEAD + chunk_list(now))
+            await reader.read()
+
+        async with backend(answer(200, b"a")) as a, backend(answer(200, b"b")) as b, peer(hold) as d:
+            port = free_port()
+            told = config(
+                listen=f"127.0.0.1:{port}",
+                discovery=f"127.0.0.1:{d.port}",
+                known=listing(entry("a", a.port), rev=1),
+            )
+            async with process(write(tmp_path, told)) as made:
+                await asked.wait()
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection("127.0.0.1", port)
+                if then == "SIGTERM":
+                    made.send_signal(signal.SIGTERM)
+                    assert await made.wait() == 0
+                    return
+                if then == "list":
+                    go_on.set()
+                assert await port_of(made) == port
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(call())
+                assert (await read_message(reader))[2] == (b"b" if then == "list" else b"a")
+                go_on.set()
+
+    run(test)
+
+
 def test_sighup_moves_the_watch_and_keeps_the_rest(tmp_path: Path) -> None:
     """A bad file changes nothing; a good one's discovery is followed though its versions are lower."""
 
