Send nothing on a connection that comes up after its backend was told to drain

Seen by a test that holds the connect: with the connection to a backend still coming up, the list said that it drains, is gone, is absent or has another address, and the request was written to it all the same once the connection stood.

At fault: upstream.py, `Pool.bar`, which closed idle connections only; and driver.py, `_take_addresses`, which barred a backend before the module had the news, so that what came back would have gone there again.

Ruled out: the module, which sends to none that drains; kept connections, which are written to at once.

Attempts whose connection is still coming up now end as not sent when their backend is barred, after the module has had the list, and go to another one. That also holds for a class that must not run twice.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -88,8 +88,7 @@
         self._perform_all(self._balancer.start(self._clock.now_us()))
         if known is not None:
             self._watch.since = known.version
-            self._take_addresses(known)
-            self._feed(i.ListNews(i.ListForm.REMEMBERED, known.version, known.backends))
+            self._take_list(known, i.ListForm.REMEMBERED)
         if not self._balancer.settings.must_subscribe:
             self._watch.start()
 
@@ -180,9 +179,16 @@
 
     def _on_list(self, news: TargetList) -> None:
         self.informed.set()
+        self._take_list(news, i.ListForm.FULL if news.full else i.ListForm.CHANGES)
+
+    def _take_list(self, news: TargetList, form: i.ListForm) -> None:
+        before = dict(self._endpoints)
         self._take_addresses(news)
-        form = i.ListForm.FULL if news.full else i.ListForm.CHANGES
         self._feed(i.ListNews(form, news.version, news.backends))
+        # The module knows by now where not to send what these give back.
+        for number, endpoint in before.items():
+            if number not in self._up or self._endpoints[number] != endpoint:
+                self._pool.bar(endpoint)
 
     def _take_addresses(self, news: TargetList) -> None:
         if news.full:
@@ -195,22 +201,16 @@
             if address is None:
                 self._drop(backend.id)
                 continue
-            endpoint = Endpoint(backend.id, address)
-            if self._endpoints.get(backend.id, endpoint) != endpoint:
-                self._drop(backend.id)
-            self._endpoints[backend.id] = endpoint
+            self._endpoints[backend.id] = endpoint = Endpoint(backend.id, address)
             if backend.condition is i.Condition.UP:
                 self._up.add(backend.id)
                 self._pool.welcome(endpoint)
             else:
                 self._up.discard(backend.id)
-                self._pool.bar(endpoint)
 
     def _drop(self, number: int) -> None:
         self._up.discard(number)
-        endpoint = self._endpoints.pop(number, None)
-        if endpoint is not None:
-            self._pool.bar(endpoint)
+        self._endpoints.pop(number, None)
 
     # Actions
 
--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -103,6 +103,7 @@
             self._use(connection)
         elif self._pool.make_room():
             self._connecting = self._pool.loop.create_task(self._connect())
+            self._pool.waiting.setdefault(self.endpoint, set()).add(self)
         else:
             self.finish(Outcome.NOT_SENT)  # our own lack of sockets says nothing of the backend
 
@@ -123,9 +124,16 @@
         if self.over:  # given up while the connection came up
             self._pool.keep(connection)
             return
+        self._wait_no_more()
         self._connection = connection
         connection.send(self, self._request)
 
+    def _wait_no_more(self) -> None:
+        waiting = self._pool.waiting.get(self.endpoint, set())
+        waiting.discard(self)
+        if not waiting:
+            self._pool.waiting.pop(self.endpoint, None)
+
     def _timed_out(self) -> None:
         # Without the last byte written nothing can have run, and the connection is closed before it is.
         sent = self._connection is not None and self._connection.sent
@@ -138,6 +146,7 @@
         if self.over:
             return
         self._timer.cancel()
+        self._wait_no_more()
         self.over = True
         if self._connecting is not None and self._connection is None:
             self._connecting.cancel()
@@ -315,6 +324,7 @@
         self._open: set[Connection] = set()
         self._coming = 0
         self._idle: dict[Endpoint, list[Connection]] = {}
+        self.waiting: dict[Endpoint, set[Attempt]] = {}  # attempts whose connections are coming up
         # Those whose idle connections are kept, and from when on.
         self._welcome: dict[Endpoint, float] = {}
 
@@ -400,9 +410,11 @@
         self._welcome.setdefault(endpoint, 0.0)
 
     def bar(self, endpoint: Endpoint) -> None:
-        """Closes the idle connections to a backend that drains or is gone, and keeps no more of them."""
+        """Sends no more to a backend that drains or is gone: what it has been sent goes on."""
         self._welcome.pop(endpoint, None)
         self._close_idle(endpoint)
+        for attempt in list(self.waiting.get(endpoint, ())):
+            attempt.finish(Outcome.NOT_SENT)
 
     def distrust(self, endpoint: Endpoint) -> None:
         """Keeps no connections to a backend for a while.
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -12,7 +12,7 @@
 from snowvalve.net.discovery import TargetList, read_list
 from snowvalve.net.driver import Driver
 from snowvalve.net.frontend import Frontend
-from snowvalve.net.upstream import Pool
+from snowvalve.net.upstream import Connection, Endpoint, Pool
 from tests.helpers import settings
 
 PATIENCE_S = 10.0  # no test waits longer for anything: a fault then fails it instead of hanging it
@@ -160,6 +160,21 @@
             writer.close()
 
 
+class Gate:
+    """Holds the pool's connections just before they are made, until it is opened."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.opened, self.waiting = asyncio.Event(), 0
+        connect = pool.connect
+
+        async def held(endpoint: Endpoint) -> Connection:
+            self.waiting += 1
+            await self.opened.wait()
+            return await connect(endpoint)
+
+        pool.connect = held  # type: ignore[method-assign]
+
+
 @asynccontextmanager
 async def proxy(
     *backends: dict[str, object],
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,6 +14,7 @@
 from tests.helpers import settings
 from tests.net_helpers import (
     WATCH_HEAD,
+    Gate,
     Handler,
     Peer,
     SteppedClock,
@@ -28,6 +29,7 @@
     proxy,
     read_message,
     run,
+    target_list,
     until,
 )
 
@@ -393,3 +395,30 @@
             await closed.wait()
 
     run(test)
+
+
+@pytest.mark.parametrize("state", ["terminating", "terminated", "absent", "moved"])
+@pytest.mark.parametrize("kind", ["read", "pay"])
+def test_a_request_whose_connection_is_coming_up_as_its_backend_drains_goes_elsewhere(
+    state: str, kind: str
+) -> None:
+    async def test() -> None:
+        async with (
+            backend(answer(200, b"a")) as a,
+            backend(answer(200, b"b")) as b,
+            proxy(entry("a", a.port)) as p,
+        ):
+            gate = Gate(p.pool)
+            asking = asyncio.ensure_future(p.ask(call(kind)))
+            await until(lambda: gate.waiting == 1)
+            news = [entry("b", b.port)]
+            if state == "moved":
+                news = [entry("a", b.port)]
+            elif state != "absent":
+                news.append(entry("a", a.port, state))
+            p.driver._on_list(target_list(*news, rev=2))
+            gate.opened.set()
+            assert (await asking)[2] == b"b"
+            assert a.connections == 0
+
+    run(test)
