Take up the next request once an answer is written, unless its client has left

Seen by tests with narrow socket buffers: a client sent two requests and read the first answer slowly; the second request was never looked at again, and after 5 s the connection was ended with it unanswered.

At fault: frontend.py, `resume_writing`. asyncio calls it when a buffer that had grown past 64 KiB has shrunk to 16 KiB, while `_proceed` waits for an empty one: most answers never call it, and the others too early.

The transport now tells when the last byte is written. That alone would bring up a sibling: where the client's end has come too, the transport is closing and still writes, and the request behind would go to a backend though its client has left (the third test, seen to fail). A connection that is closing therefore takes up nothing.

Ruled out: bytes that arrive later. They call `_proceed` themselves, so only what was sent ahead stood still.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -183,6 +183,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that resume_writing tells when all is written
         self._surplus = self._front.crowded_by(self)
         if len(self._front.open) > self._front.most + SURPLUS_MOST:
             transport.abort()
@@ -226,6 +227,8 @@
 
     def _proceed(self) -> None:
         """Takes in what has come, up to the end of a request."""
+        if self.transport.is_closing():  # the client has left: what it sent ahead goes nowhere
+            return
         try:
             # An answer that is not read holds the next request back: guards memory.
             while not (self._waiting or self._lingering or self.transport.get_write_buffer_size()):
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -12,7 +12,20 @@
 from snowvalve.net import frontend, upstream
 from snowvalve.net.driver import LAG_MARGIN_US, Caller
 from tests.helpers import settings
-from tests.net_helpers import Gate, answer, backend, call, entry, peer, proxy, read_message, run, until
+from tests.net_helpers import (
+    Gate,
+    Proxy,
+    Streams,
+    answer,
+    backend,
+    call,
+    entry,
+    peer,
+    proxy,
+    read_message,
+    run,
+    until,
+)
 
 
 def status(got: tuple[str, dict[str, str], bytes]) -> int:
@@ -578,3 +591,65 @@
             assert not p.driver._balancer.out and not p.driver._balancer.lives
 
     run(test)
+
+
+def narrow(p: Proxy, bytes_each: int = 4096) -> None:
+    """Connections from now on take little at once, so that answers have to wait for their client to read."""
+    p.frontend._listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, bytes_each)
+
+
+async def slow_reader(p: Proxy) -> Streams:
+    """A client that reads nothing until it is let to."""
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    raw.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(raw, ("127.0.0.1", p.port))
+    reader, writer = await asyncio.open_connection(sock=raw)
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    return reader, writer
+
+
+@pytest.mark.parametrize("size", [20_000, 65_536])
+def test_a_request_behind_an_answer_that_is_read_slowly_is_answered_in_its_turn(size: int) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x" * size)) as b, proxy(entry("s-1", b.port)) as p:
+            narrow(p)
+            reader, writer = await slow_reader(p)
+            writer.write(call(id="r1") + call(id="r2"))
+            await until(lambda: bool(p.frontend.open))
+            [connection] = p.frontend.open
+            await until(lambda: connection.transport.get_write_buffer_size() > 0)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert len(b.seen) == 1  # what is not read holds the next one back: guards memory
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            for _ in range(2):
+                assert len((await read_message(reader))[2]) == size
+            writer.close()
+
+    run(test)
+
+
+def test_a_request_behind_an_answer_is_not_sent_once_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The client's end has come, and what is queued for it still goes out: then the next request is read."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async with backend(answer(200, b"x" * 65_536)) as b, proxy(entry("s-1", b.port)) as p:
+            narrow(p)
+            _, writer = await slow_reader(p)
+            writer.write(call(id="r1") + call(id="r2"))
+            await until(lambda: bool(p.frontend.open))
+            [connection] = p.frontend.open
+            await until(lambda: connection.transport.get_write_buffer_size() > 0)
+            writer.write_eof()
+            await until(connection.transport.is_closing)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            await until(lambda: connection not in p.frontend.open)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert len(b.seen) == 1 and p.driver.idle
+
+    run(test)
