Count the time of a request sent ahead from its own last byte

Seen by a test with a stepped clock: of three requests on one connection the third, whose last byte came 1.5 s after the first ones, was handed over with 2.495 s of its 4 s. A client that always has a next request under way would lose more with each one, until its requests are refused at once.

At fault: frontend.py, `_ahead_since`: one time for all that came while a request was open, carried on to the next request for as long as any byte was left over.

The bytes that come ahead now wait in pieces, each with its time, and h11 gets the next piece when it wants more; a request's time is that of the piece that made it whole. What stays unread is bounded as before.

The test that stood here before could not fail: it looked at the deadline told to the backend, which the class's aim of 2 s holds under the 3 s that it asked for. The new one looks at what the driver is handed. The bound on bytes held back is checked against the limit and one read, 352 KiB, where it was 500,000 bytes.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import socket
+from collections import deque
 from collections.abc import Mapping
 
 import h11
@@ -18,7 +19,8 @@
 log = logging.getLogger(__name__)
 
 HEAD_MOST = 16 * 1024  # bytes of a request's line and headers
-READ_AHEAD_MOST = 96 * 1024  # bytes taken in while an answer is still to come: a request of full size
+PIECE = 16 * 1024  # bytes that are looked at at once
+AHEAD_MOST = 96 * 1024  # bytes taken in while an answer is still to come: a request of full size
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
 IDLE_S = 20.0  # an idle connection is closed after this time
 LINGER_S = 1.0  # what still comes after a rejected request is read for this long
@@ -164,7 +166,9 @@
         self._surplus = False
         self._since = frontend.loop.time()  # of the last step: a connect, a first byte, an answer
         self._fresh = True  # nothing has been answered yet
-        self._ahead_since: float | None = None  # when bytes came during a request: the next may be among them
+        self._came = self._since  # when the bytes came that h11 has had
+        self._ahead: deque[tuple[float, bytes]] = deque()  # those behind them, and when they came
+        self._ahead_size = 0
 
     @property
     def busy(self) -> bool:
@@ -174,12 +178,14 @@
     def idle(self) -> bool:
         """Is nothing of a request here?"""
         return (
-            not self.busy
-            and not self._lingering
-            and self._http.their_state is h11.IDLE
-            and not self._http.trailing_data[0]
+            not self.busy and not self._lingering and self._http.their_state is h11.IDLE and not self._unread
         )
 
+    @property
+    def _unread(self) -> bool:
+        """Has more come than has been looked at?"""
+        return bool(self._ahead or self._http.trailing_data[0])
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
@@ -190,6 +196,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.left(self)
+        self._forget_ahead()
         if self._waiting:
             self._over()
             if self._key is not None:
@@ -198,14 +205,28 @@
     def data_received(self, data: bytes) -> None:
         if self._lingering or self.transport.is_closing():
             return
-        if self._ahead_since is None:
-            self._ahead_since = self._front.loop.time()
+        now = self._front.loop.time()
         if not self._fresh and self.idle:
-            self._since = self._ahead_since
+            self._since = now
             self._front.stands(self, None)
-        self._http.receive_data(data)
+        for at in range(0, len(data), PIECE):
+            self._ahead.append((now, data[at : at + PIECE]))
+        self._ahead_size += len(data)
         self._proceed()
 
+    def _take_ahead(self) -> bool:
+        """Hands h11 the next piece, where there is one."""
+        if not self._ahead:
+            return False
+        self._came, data = self._ahead.popleft()
+        self._ahead_size -= len(data)
+        self._http.receive_data(data)
+        return True
+
+    def _forget_ahead(self) -> None:
+        self._ahead_size = 0
+        self._ahead.clear()
+
     def resume_writing(self) -> None:
         self._proceed()
 
@@ -242,9 +263,8 @@
                             raise BadRequest(413, "too long")
                     case h11.EndOfMessage():
                         self._whole()
-                    case h11.NEED_DATA:
-                        self._ahead_since = None
-                        break
+                    case h11.NEED_DATA if self._take_ahead():
+                        pass
                     case _:
                         break
         except h11.RemoteProtocolError as error:
@@ -253,7 +273,7 @@
             self._reject(error.status)
         if self.transport.is_closing():
             return
-        if len(self._http.trailing_data[0]) > READ_AHEAD_MOST and not self._lingering:
+        if self._ahead_size > AHEAD_MOST:
             self.transport.pause_reading()  # guards memory: clients send one request at a time
         else:
             self.transport.resume_reading()
@@ -286,11 +306,10 @@
             raise BadRequest(409, "the id of an open request")
         if self._body or head.method != b"GET":
             head.headers.append((b"content-length", b"%d" % len(self._body)))
-        came = self._ahead_since or self._front.loop.time()
         caller = Caller(
             class_name=head.class_name,
             # Its time counts from when its last byte came, however long it waited behind another.
-            patience_us=round(1e6 * max(0.0, head.patience_s - (self._front.loop.time() - came))),
+            patience_us=round(1e6 * max(0.0, head.patience_s - (self._front.loop.time() - self._came))),
             tenant=head.tenant,
             retry=head.retry,
             method=head.method,
@@ -301,7 +320,6 @@
         )
         self._front.ids.add(head.id)
         self._waiting = True
-        self._ahead_since = came if self._http.trailing_data[0] else None
         key = self._front.driver.request(caller)
         if self._waiting:
             self._key = key
@@ -332,7 +350,7 @@
         self._fresh = False
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-            if self._http.trailing_data[0]:  # the next request came early
+            if self._unread:  # the next request came early
                 self._front.loop.call_soon(self._proceed)
             else:
                 self._front.stands(self, self._front.idle)
@@ -354,6 +372,8 @@
         if self._lingering or self.transport.is_closing():
             return
         self._lingering = True
+        self._forget_ahead()
+        self.transport.resume_reading()
         self._front.stands(self, self._front.loose)
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -15,6 +15,7 @@
 from tests.net_helpers import (
     Gate,
     Proxy,
+    SteppedClock,
     Streams,
     answer,
     backend,
@@ -291,16 +292,19 @@
             while p.frontend.open:
                 await asyncio.sleep(0.01)
                 assert connection.transport.get_write_buffer_size() <= 2 * 65536 + 1024
-                assert len(connection._http.trailing_data[0]) < 500_000
+                assert connection._ahead_size <= frontend.AHEAD_MOST + 256 * 1024  # the limit and one read
             assert len(b.seen) < 2000
             writer.transport.abort()
 
     run(test)
 
 
-def test_what_came_behind_another_request_has_less_time_left(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_time_of_a_request_counts_from_its_own_last_byte(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However long it waited behind others, and whenever these came."""
+
     async def test() -> None:
-        go_on = asyncio.Event()
+        go_on, clock = asyncio.Event(), SteppedClock()
+        patience: list[float] = []
 
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
@@ -309,16 +313,28 @@
                 writer.write(answer(200, b"x"))
 
         async with peer(handle) as b, proxy(entry("s-1", b.port)) as p:
+            take = p.driver.request
+
+            def listen(caller: Caller) -> str:
+                patience.append(caller.patience_us / 1e6)
+                return take(caller)
+
+            monkeypatch.setattr(p.driver, "request", listen)
             reader, writer = await p.connect()
             writer.write(call(id="r1") + call(id="r2"))
-            while not b.seen:
-                await asyncio.sleep(0)
-            now = p.frontend.loop.time
-            monkeypatch.setattr(p.frontend.loop, "time", lambda: now() + 1.0)
+            await until(lambda: bool(b.seen))
+            clock.step(1.0)
+            third = call(id="r3")
+            writer.write(third[:-9])
+            [connection] = p.frontend.open
+            await until(lambda: connection._ahead_size == len(third) - 9)
+            clock.step(0.5)
+            writer.write(third[-9:])
+            await until(lambda: connection._ahead_size == len(third))
             go_on.set()
-            for _ in range(2):
+            for _ in range(3):
                 assert status(await read_message(reader)) == 200
-            assert float(b.seen[1][1]["req-deadline"]) < 3.0
+            assert 3.0 < patience[0] <= 4.0 and patience[1] <= 2.5 and 3.0 < patience[2] <= 4.0
             writer.close()
 
     run(test)
