See a client leave behind bytes that are not read, and before its request is sent on

Seen by tests: a client that had sent 360 KB ahead left while its first request was open, and the next one went to a backend all the same (seen: r0, r1), with and without cancels allowed. Also a request that had waited in the system's buffer until its client was gone was written to a kept connection at once.

At fault: frontend.py, `_proceed`: past 96 KiB it pauses reading, and asyncio then asks the system nothing about that connection; `_whole` handed a request on without asking either, though the end stood right behind it.

Ruled out: less than 96 KiB ahead, where the end is read and all behind is dropped; requests in the module.

The tests force the pause with a limit of 10,000 bytes.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -14,13 +14,16 @@
 from snowvalve import interface as i
 from snowvalve.net.driver import Answer, Caller, Driver
 from snowvalve.net.heads import BadRequest, Head, check_framing, read_head
-from snowvalve.net.upstream import BODY_MOST, NO_DESCRIPTOR, Address
+from snowvalve.net.upstream import BODY_MOST, NO_DESCRIPTOR, Address, hung_up
 
 log = logging.getLogger(__name__)
 
 HEAD_MOST = 16 * 1024  # bytes of a request's line and headers
 PIECE = 16 * 1024  # bytes that are looked at at once
-AHEAD_MOST = 96 * 1024  # bytes taken in while an answer is still to come: a request of full size
+# Bytes taken in while an answer is still to come, from one caller and from all. Far more than the request of
+# full size that a proper one may send: behind bytes that are not read, its leaving could not be seen.
+AHEAD_MOST = 1024 * 1024
+AHEAD_ALL = 4 * 1024 * 1024
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
 IDLE_S = 20.0  # an idle connection is closed after this time
 LINGER_S = 1.0  # what still comes after a rejected request is read for this long
@@ -47,6 +50,7 @@
         self.loose: dict[CallerConnection, None] = {}
         self.idle: dict[CallerConnection, None] = {}
         self.ids: set[bytes] = set()  # of the requests that are open
+        self.ahead = 0  # bytes that came ahead of their turn, from all callers
         self.leaving = False  # no longer ready
         self.closing = False  # connections are closed as they fall idle
         self._admitting: set[asyncio.Task[None]] = set()
@@ -212,6 +216,7 @@
         for at in range(0, len(data), PIECE):
             self._ahead.append((now, data[at : at + PIECE]))
         self._ahead_size += len(data)
+        self._front.ahead += len(data)
         self._proceed()
 
     def _take_ahead(self) -> bool:
@@ -220,10 +225,12 @@
             return False
         self._came, data = self._ahead.popleft()
         self._ahead_size -= len(data)
+        self._front.ahead -= len(data)
         self._http.receive_data(data)
         return True
 
     def _forget_ahead(self) -> None:
+        self._front.ahead -= self._ahead_size
         self._ahead_size = 0
         self._ahead.clear()
 
@@ -234,6 +241,8 @@
         """Closes a connection that has stood still for too long."""
         still = now - self._since
         if self._waiting:
+            if not self.transport.is_reading() and hung_up(self.transport):
+                self.transport.abort()
             return
         if self._lingering:
             most = LINGER_S
@@ -273,7 +282,7 @@
             self._reject(error.status)
         if self.transport.is_closing():
             return
-        if self._ahead_size > AHEAD_MOST:
+        if self._ahead_size > AHEAD_MOST or (self._ahead and self._front.ahead > AHEAD_ALL):
             self.transport.pause_reading()  # guards memory: clients send one request at a time
         else:
             self.transport.resume_reading()
@@ -306,6 +315,9 @@
             raise BadRequest(409, "the id of an open request")
         if self._body or head.method != b"GET":
             head.headers.append((b"content-length", b"%d" % len(self._body)))
+        if hung_up(self.transport):
+            self.transport.abort()
+            return
         caller = Caller(
             class_name=head.class_name,
             # Its time counts from when its last byte came, however long it waited behind another.
--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -80,6 +80,23 @@
 Done = Callable[[Outcome, Reply | None], None]
 
 
+def _polled(transport: asyncio.BaseTransport, asked: int) -> int:
+    """What the system has on a connection at this moment, whatever the event loop has seen of it."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), asked)
+    return next((found for _, found in poll.poll(0)), 0)
+
+
+def unread(transport: asyncio.BaseTransport) -> bool:
+    """Is there anything to read, be it the other side's end?"""
+    return bool(_polled(transport, select.POLLIN))
+
+
+def hung_up(transport: asyncio.BaseTransport) -> bool:
+    """Has the other side ended its sending, be it behind bytes that are not read yet?"""
+    return bool(_polled(transport, select.POLLRDHUP) & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
+
+
 class Spoilt(Exception):
     """An answer that can't be this request's; the text says why."""
 
@@ -346,17 +363,11 @@
                 continue
             self.forget(connection)
             # Guards against sending on a connection whose end, or more than its answer, was not yet read.
-            if not connection.transport.is_closing() and not self._readable(connection):
+            if not connection.transport.is_closing() and not unread(connection.transport):
                 return connection
             connection.close()
         return None
 
-    @staticmethod
-    def _readable(connection: Connection) -> bool:
-        poll = select.poll()
-        poll.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def make_room(self) -> bool:
         """May a further connection be opened? Closes the longest idle one where that is needed."""
         if len(self._open) + self._coming < self._most:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -669,3 +669,61 @@
             assert len(b.seen) == 1 and p.driver.idle
 
     run(test)
+
+
+@pytest.mark.parametrize("paused", [False, True])
+@pytest.mark.parametrize("cancel", [True, False])
+def test_what_waits_behind_another_request_is_not_sent_once_its_client_has_left(
+    paused: bool, cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end shows though it stands behind more bytes than are taken in ahead of their turn."""
+    if paused:
+        monkeypatch.setattr(frontend, "AHEAD_MOST", 10_000)
+
+    async def test() -> None:
+        go_on, clock = asyncio.Event(), SteppedClock()
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                b.seen.append(await read_message(reader))
+                await go_on.wait()
+                writer.write(answer(200, b"x"))
+
+        limits = i.Limits(max_attempts=3, cancel=cancel)
+        async with peer(handle) as b, proxy(entry("s-1", b.port), setup=settings(limits=limits)) as p:
+            _, writer = await p.connect()
+            # Read in more than one go, so that the pause holds some of it back.
+            body = b"x" * 60_000
+            writer.write(b"".join(call("mark", id=f"r{n}", body=body) for n in range(6)))
+            await until(lambda: bool(b.seen))
+            [connection] = p.frontend.open
+            await until(lambda: connection.transport.is_reading() is not paused)
+            writer.close()
+            for _ in range(100):
+                await asyncio.sleep(0)
+            clock.step(frontend.SWEEP_S)
+            await until(lambda: p.driver.idle)
+            go_on.set()
+            await until(lambda: not p.driver._attempts and not p.frontend.open)
+            assert [headers["req-id"] for _, headers, _ in b.seen] == ["r0"]
+            assert p.frontend.ahead == 0
+
+    run(test)
+
+
+def test_a_request_whose_client_left_before_it_was_read_goes_nowhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It waited in the system, as it does while the event loop is busy; a kept connection is at hand."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            assert status(await p.ask(call(id="r1"))) == 200
+            with socket.create_connection(("127.0.0.1", p.port)) as client:
+                client.sendall(call(id="r2"))
+            await until(lambda: bool(p.frontend.open))
+            await until(lambda: not p.frontend.open)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert len(b.seen) == 1 and p.driver.idle
+
+    run(test)
