Close no caller's connection in the moment in which its request comes

Seen by tests that put a request into the system's buffer just before the step: a connection that had stood idle for its time, or was to make room for a newcomer, was reset with that request unread, kept ones and new ones alike.

At fault: frontend.py, `check` and `crowded_by`, which went by what had been read.

Both now ask the system first. Where a part of a request has come, its rest gets 0.4 s more at the most, and one that was turned away gets nothing, so that the error or close that is owed in 3 s still comes in time.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -8,13 +8,14 @@
 import socket
 from collections import deque
 from collections.abc import Mapping
+from itertools import chain
 
 import h11
 
 from snowvalve import interface as i
 from snowvalve.net.driver import Answer, Caller, Driver
 from snowvalve.net.heads import BadRequest, Head, check_framing, read_head
-from snowvalve.net.upstream import BODY_MOST, NO_DESCRIPTOR, Address, hung_up
+from snowvalve.net.upstream import BODY_MOST, NO_DESCRIPTOR, Address, hung_up, unread
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +26,7 @@
 AHEAD_MOST = 1024 * 1024
 AHEAD_ALL = 4 * 1024 * 1024
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
+COMING_S = 0.4  # and this much later where more of it has just come
 IDLE_S = 20.0  # an idle connection is closed after this time
 LINGER_S = 1.0  # what still comes after a rejected request is read for this long
 UNREAD_S = 5.0  # an answer that its client doesn't read is kept for this long
@@ -108,9 +110,9 @@
         if len(self.open) >= self.most:  # guards our descriptors
             # A flood of silent connections closes its own, not those of usual clients, once it has half of
             # the room; below that, one that has just come is left the time to bring its request.
-            loose, idle = next(iter(self.loose), None), next(iter(self.idle), None)
-            spare = loose if 2 * len(self.loose) >= self.most else idle
-            spare = spare or loose or idle
+            flood = 2 * len(self.loose) >= self.most
+            those = chain(self.loose, self.idle) if flood else chain(self.idle, self.loose)
+            spare = next((c for c in those if not c.brings_more), None)
             if spare is not None:
                 self.left(spare)
                 spare.transport.abort()
@@ -185,6 +187,11 @@
             not self.busy and not self._lingering and self._http.their_state is h11.IDLE and not self._unread
         )
 
+    @property
+    def brings_more(self) -> bool:
+        """Has more of a request come, perhaps its end, that is still to be read?"""
+        return not self._lingering and unread(self.transport)
+
     @property
     def _unread(self) -> bool:
         """Has more come than has been looked at?"""
@@ -252,8 +259,9 @@
             most = IDLE_S
         else:
             most = WHOLE_S
-        if still > most:
-            self.transport.abort()
+        if still <= most or (self.brings_more and (self.idle or still <= most + COMING_S)):
+            return
+        self.transport.abort()
 
     def _proceed(self) -> None:
         """Takes in what has come, up to the end of a request."""
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -727,3 +727,66 @@
             assert len(b.seen) == 1 and p.driver.idle
 
     run(test)
+
+
+class Bare:
+    """A client whose bytes are with the system at once: the loop has not turned, so they are unread."""
+
+    def __init__(self, p: Proxy) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", p.port))
+
+    def send(self, sent: bytes) -> None:
+        self.socket.sendall(sent)
+
+    async def read(self, answers: int) -> list[int]:
+        """The status of each of these, and then it leaves."""
+        self.socket.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=self.socket)
+        try:
+            return [status(await read_message(reader)) for _ in range(answers)]
+        finally:
+            writer.close()
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_connection_is_not_closed_for_standing_still_as_its_request_comes(fresh: bool) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            client = Bare(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            if not fresh:
+                client.send(call(id="r1"))
+                await until(lambda: connection in p.frontend.idle)
+            client.send(call(id="r2"))
+            connection.check(p.frontend.loop.time() + frontend.IDLE_S + 1.0)
+            assert await client.read(1 if fresh else 2) == ([200] if fresh else [200, 200])
+
+    run(test)
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_connection_does_not_make_room_for_others_as_its_request_comes(
+    fresh: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Where all others are busy, or about to be, the newcomer is one too many."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port), most=1) as p:
+            client = Bare(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            if not fresh:
+                client.send(call(id="r1"))
+                await until(lambda: connection in p.frontend.idle)
+            crowded_by = p.frontend.crowded_by
+
+            def crossed(newcomer: frontend.CallerConnection) -> bool:
+                client.send(call(id="r2"))
+                return crowded_by(newcomer)
+
+            monkeypatch.setattr(p.frontend, "crowded_by", crossed)
+            assert status(await p.ask(call(id="r3"))) == 503
+            assert await client.read(1 if fresh else 2) == ([200] if fresh else [200, 200])
+
+    run(test)
