Take in what waits at the listener before it is closed

Seen by a test: of 40 clients whose connections the system had taken in and whose requests had arrived, all were reset as the listener was closed. What the machine has taken in counts as the proxy's.

At fault: frontend.py, `stop_listening`, which closed the listener with whatever its queue held.

Ruled out: the 16 connections that one turn of the loop takes in; any number of turns may be missing at that time.

The queue is now emptied first, and `quiet` stays false until those connections have been looked at.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -72,12 +72,16 @@
         return host, port
 
     def stop_listening(self) -> None:
+        """Takes in what the system has taken in for us, and then no more: closing would reset those."""
+        if self._listener.fileno() < 0:
+            return
         self.loop.remove_reader(self._listener)
+        self._accept(BACKLOG)
         self._listener.close()
 
-    def _accept(self) -> None:
+    def _accept(self, most: int = ACCEPT_AT_ONCE) -> None:
         try:
-            for _ in range(ACCEPT_AT_ONCE):
+            for _ in range(most):
                 accepted, _ = self._listener.accept()
                 # asyncio sets this only where it made the socket itself, as it does for backends.
                 accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -790,3 +790,20 @@
             assert await client.read(1 if fresh else 2) == ([200] if fresh else [200, 200])
 
     run(test)
+
+
+def test_connections_that_the_system_has_taken_in_are_served_though_listening_ends() -> None:
+    """With more of them than are taken in at once, their requests sent and none of it read."""
+
+    async def test() -> None:
+        async with proxy(entry("s-1", 9)) as p:
+            clients = [Bare(p) for _ in range(40)]
+            for client in clients:
+                client.send(call(path="/ready"))
+            p.frontend.stop_listening()
+            assert not p.frontend.quiet
+            assert [await client.read(1) for client in clients] == [[200]] * 40
+            with pytest.raises(ConnectionRefusedError):
+                await p.connect()
+
+    run(test)
