Close no connection at the end of the proxy as its request comes

At fault: frontend.py, `close_idle`, which ran once and went by what had been read, and `quiet`, which asked only for requests that are open; __main__.py, `serve`, which took both for the whole of it.

Ruled out: requests that are with the module; they were waited for and answered before, too.

Closing now goes on until every connection has been answered and told so, or is closed. One with bytes unread is read first, one that has just come has 0.2 s for its first request, one in part has until the end, which comes no later than before.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -137,6 +137,14 @@
         wait.cancel()
 
 
+async def close_all(frontend: Frontend, end: float) -> None:
+    """Closes callers' connections as they fall idle, until none owes or brings anything, or to the end."""
+    frontend.close_idle()
+    while frontend.loop.time() < end and not frontend.quiet:
+        await asyncio.sleep(POLL_S)
+        frontend.close_idle()
+
+
 async def serve(config: Config, source: Source) -> None:
     """One proxy, until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -171,13 +179,9 @@
     while loop.time() < told + answer_by - LAST_S and frontend.open:
         await asyncio.sleep(POLL_S)
     frontend.stop_listening()
-    frontend.close_idle()
-    while loop.time() < end and not frontend.quiet:
-        await asyncio.sleep(POLL_S)
+    await close_all(frontend, end)
     driver.give_up()
-    end = loop.time() + FLUSH_S
-    while loop.time() < end and not frontend.quiet:
-        await asyncio.sleep(POLL_S)
+    await close_all(frontend, loop.time() + FLUSH_S)
     frontend.close()
     driver.close()
 
--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -26,6 +26,7 @@
 AHEAD_MOST = 1024 * 1024
 AHEAD_ALL = 4 * 1024 * 1024
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
+FIRST_S = 0.2  # after its connect a client has sent its first request
 COMING_S = 0.4  # and this much later where more of it has just come
 IDLE_S = 20.0  # an idle connection is closed after this time
 LINGER_S = 1.0  # what still comes after a rejected request is read for this long
@@ -136,18 +137,20 @@
         self.stands(connection, None)
 
     def close_idle(self) -> None:
-        """Closes connections from now on, each once its request has been answered."""
+        """Closes connections from now on, each once its request has been answered.
+
+        To be called until all is quiet: a connection may just be bringing a request.
+        """
         self.closing = True
+        now = self.loop.time()
         for connection in [*self.loose, *self.idle]:
-            if connection.idle:
+            if connection.idle and not connection.brings_more and not connection.just_came(now):
                 connection.transport.close()
 
     @property
     def quiet(self) -> bool:
-        """Is everything answered and written?"""
-        return not self._admitting and not any(
-            c.busy or c.transport.get_write_buffer_size() for c in self.open
-        )
+        """Is everything answered and written, and nothing of a request here?"""
+        return not self._admitting and all(c.done for c in self.open)
 
     def close(self) -> None:
         self._sweeper.cancel()
@@ -181,15 +184,19 @@
         self._ahead_size = 0
 
     @property
-    def busy(self) -> bool:
-        return self._waiting or self._head is not None
+    def done(self) -> bool:
+        """Is it closing, with all that it owed written?"""
+        closing = self._lingering or self.transport.is_closing()
+        return closing and not self.transport.get_write_buffer_size()
+
+    def just_came(self, now: float) -> bool:
+        """May its first request be on its way?"""
+        return self._fresh and now - self._since <= FIRST_S
 
     @property
     def idle(self) -> bool:
         """Is nothing of a request here?"""
-        return (
-            not self.busy and not self._lingering and self._http.their_state is h11.IDLE and not self._unread
-        )
+        return not self._lingering and self._http.their_state is h11.IDLE and not self._unread
 
     @property
     def brings_more(self) -> bool:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -807,3 +807,63 @@
                 await p.connect()
 
     run(test)
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_connection_is_not_closed_at_the_end_as_its_request_comes(fresh: bool) -> None:
+    """It is answered, and told that it was the last one; until then not all is said and done."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            client, other = Bare(p), Bare(p)
+            await until(lambda: len(p.frontend.open) == 2)
+            if not fresh:
+                client.send(call(id="r1"))
+                await until(lambda: len(p.frontend.idle) == 1)
+            clock = SteppedClock()
+            clock.step(1.0)  # neither has just come
+            client.send(call(id="r2"))
+            p.frontend.close_idle()
+            assert not p.frontend.quiet
+            await until(lambda: len(p.frontend.open) == 1)  # the other one is closed
+            assert other.socket.recv(1) == b""
+            assert await client.read(1 if fresh else 2) == ([200] if fresh else [200, 200])
+            await until(lambda: p.frontend.quiet and not p.frontend.open)
+
+    run(test)
+
+
+def test_a_connection_that_has_just_come_is_left_the_time_to_bring_its_request_at_the_end() -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            clock, client, silent = SteppedClock(), Bare(p), Bare(p)
+            p.frontend.stop_listening()
+            p.frontend.close_idle()
+            await until(lambda: len(p.frontend.open) == 2)
+            p.frontend.close_idle()
+            assert not p.frontend.quiet
+            client.send(call())
+            assert await client.read(1) == [200]
+            clock.step(1.0)
+            p.frontend.close_idle()
+            await until(lambda: p.frontend.quiet and not p.frontend.open)
+            assert silent.socket.recv(1) == b""
+
+    run(test)
+
+
+def test_a_request_that_has_come_in_part_is_waited_for_at_the_end() -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            client, request = Bare(p), call()
+            client.send(request[:30])
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            await until(lambda: not connection.idle and not p.frontend._admitting)
+            p.frontend.close_idle()
+            assert not p.frontend.quiet
+            client.send(request[30:])
+            assert await client.read(1) == [200]
+            await until(lambda: p.frontend.quiet)
+
+    run(test)
