Let no signal kill the proxy in the last moment of its end

Seen by a test that sends SIGHUP as the event loop has just been closed: the process died of it, where its end by itself has code 0. asyncio puts the default back for each signal as it closes, and the default ends a process; a proxy that ends on SIGHUP counts as crashed.

At fault: __main__.py, `serve`, which left that to asyncio.

Ruled out, by a test that now stands: a second SIGTERM, and SIGHUP, while requests are still answered; both are handled, and the new discovery is followed.

The signals are blocked once all is answered, before the loop is closed.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -30,6 +30,7 @@
 LAST_S = 1.2  # time that the last request which is taken has until then
 FLUSH_S = 0.2  # for the last answers to be written
 POLL_S = 0.01
+ENDING = (signal.SIGTERM, signal.SIGINT)
 
 
 class ConfigError(Exception):
@@ -147,9 +148,17 @@
 
 async def serve(config: Config, source: Source) -> None:
     """One proxy, until SIGTERM or SIGINT."""
+    try:
+        await attend(config, source)
+    finally:
+        # The handlers go with the event loop: guards the end against being made a crash by one more signal.
+        signal.pthread_sigmask(signal.SIG_BLOCK, (*ENDING, signal.SIGHUP))
+
+
+async def attend(config: Config, source: Source) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, stop.set)
     usable = max(2, config.sockets - SPARE_SOCKETS)
     callers = max(1, int(CALLERS_SHARE * usable))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -175,6 +175,73 @@
     run(test)
 
 
+def test_signals_during_its_end_change_nothing_but_where_discovery_is(tmp_path: Path) -> None:
+    """A second SIGTERM, and a new configuration while what is out is still answered."""
+
+    async def test() -> None:
+        begun, go_on, moved = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            begun.set()
+            await go_on.wait()
+            writer.write(answer(200, b"slow"))
+
+        async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            moved.set()
+            await reader.read()
+
+        async with peer(slow) as b, peer(watch) as d:
+            told = config(known=listing(entry("a", b.port)))
+            async with process(write(tmp_path, told)) as made:
+                reader, writer = await asyncio.open_connection("127.0.0.1", await port_of(made))
+                writer.write(call())
+                await begun.wait()
+                made.send_signal(signal.SIGTERM)
+                write(tmp_path, {**told, "discovery": f"127.0.0.1:{d.port}"})
+                made.send_signal(signal.SIGHUP)
+                await moved.wait()
+                made.send_signal(signal.SIGTERM)
+                go_on.set()
+                assert (await read_message(reader))[2] == b"slow"
+                assert await made.wait() == 0
+
+    run(test)
+
+
+AT_ITS_END = """
+import os, signal, sys
+import snowvalve.__main__ as program
+
+run = program.asyncio.run
+
+def crossed(serving):
+    run(serving)
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+
+program.asyncio.run = crossed
+sys.exit(program.main())
+"""
+
+
+def test_a_signal_in_its_very_last_moment_does_not_kill_it(tmp_path: Path) -> None:
+    """The event loop is closed by then, and with it the handlers are gone."""
+
+    async def test() -> None:
+        env = {**os.environ, **write(tmp_path, config())}
+        pipe = asyncio.subprocess.PIPE
+        made = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", AT_ITS_END, cwd=ROOT, env=env, stderr=pipe
+        )
+        await port_of(made)
+        made.send_signal(signal.SIGTERM)
+        assert await made.wait() == 0
+
+    run(test)
+
+
 def test_what_cannot_be_answered_in_time_at_the_end_is_still_answered(tmp_path: Path) -> None:
     async def test() -> None:
         begun = asyncio.Event()
