Tell by its class alone whether a request may go on a kept connection

Seen by a test: a request of a class that must not run twice went on a kept connection, which may be gone already, as its client had given it an Idempotency-Key. If that connection breaks, the request ends as failed.

At fault: upstream.py, `Outgoing.repeatable`, which guessed the class from method and headers. The class is in the settings, and one customer's may give another effect to it than another's.

What follows a break is the module's to say, and it goes by the class.

The driver now says so with each request, from the settings.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -32,7 +32,7 @@
 FAILED = Answer(502)
 INFLIGHT = re.compile(rb"(?:^|,)(?:busy_reqs|inflight)=([0-9]{1,9}(?:\.[0-9]{1,9})?)(?:,|$)")
 PROBE_S = 0.4  # a probe that has brought nothing by then has failed
-PROBE = Outgoing(b"GET", b"/status/load", [(b"host", b"localhost")], b"")
+PROBE = Outgoing(b"GET", b"/status/load", [(b"host", b"localhost")], b"", repeatable=True)
 
 
 @dataclass(slots=True)
@@ -72,6 +72,7 @@
         self._watch = Watch(discovery, self._on_list, self._on_broken)
         self.informed = asyncio.Event()  # discovery has said what there is, or has failed to
         self._balancer = Balancer(settings, seed)
+        self._unsafe = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self._events: deque[i.Event] = deque()
         self._busy = False
         # The module gets ids of our own: a client's id may come twice, and late outcomes must find theirs.
@@ -270,7 +271,11 @@
 
         deadline = b"%.6f" % (send.timeout_us / 1e6)
         request = Outgoing(
-            caller.method, caller.target, [*caller.headers, (b"req-deadline", deadline)], caller.body
+            caller.method,
+            caller.target,
+            [*caller.headers, (b"req-deadline", deadline)],
+            caller.body,
+            repeatable=caller.class_name not in self._unsafe,
         )
         attempt = self._pool.attempt(self._endpoints[send.backend], request, send.timeout_us / 1e6, done)
         if not attempt.over:
--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -52,11 +52,7 @@
     target: bytes
     headers: Headers
     body: bytes
-
-    @property
-    def repeatable(self) -> bool:
-        """May it be sent again where it may have run? The protocol fixes the form of each class."""
-        return self.method == b"GET" or any(name == b"idempotency-key" for name, _ in self.headers)
+    repeatable: bool  # it may be sent again where it may have run
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -867,3 +867,20 @@
             await until(lambda: p.frontend.quiet)
 
     run(test)
+
+
+@pytest.mark.parametrize(("kind", "kept"), [("pay", 0), ("mark", 1), ("read", 1)])
+def test_only_the_class_says_whether_a_request_goes_on_a_kept_connection(
+    kind: str, kept: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A header does not: a client may give a key to what must not run twice."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port)) as p:
+            assert status(await p.ask(call(id="first"))) == 200
+            assert status(await p.ask(call(kind, Idempotency_Key="k"))) == 200
+            assert b.connections == 2 - kept
+            assert b.seen[1][1]["idempotency-key"] == "k"
+
+    run(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import pytest
 
@@ -12,9 +13,10 @@
 from snowvalve.net.upstream import Address, Endpoint, Outgoing, Pool, Reply
 from tests.net_helpers import answer, backend, peer, read_message, run
 
-KEY = (b"idempotency-key", b"k")
-REQUEST = Outgoing(b"POST", b"/api", [(b"host", b"x"), KEY, (b"content-length", b"2")], b"hi")
-ONCE = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"2")], b"hi")
+REQUEST = Outgoing(
+    b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
+)
+ONCE = replace(REQUEST, repeatable=False)
 
 
 async def attempt(
@@ -169,7 +171,7 @@
 
         async with peer(handle) as b:
             body = b"x" * 30_000_000
-            big = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"%d" % len(body))], body)
+            big = replace(ONCE, headers=[(b"host", b"x"), (b"content-length", b"%d" % len(body))], body=body)
             pool = Pool(0.25, 30.0, 10)
             assert await attempt(pool, ("127.0.0.1", b.port), big) == (Outcome.NO_CONNECTION, None)
 
@@ -309,7 +311,7 @@
 
 
 def test_a_request_that_is_not_written_whole_has_never_run() -> None:
-    big = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"30000000")], b"x" * 30_000_000)
+    big = replace(ONCE, headers=[(b"host", b"x"), (b"content-length", b"30000000")], body=b"x" * 30_000_000)
 
     async def test() -> None:
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -324,7 +326,7 @@
 
 
 def test_giving_up_while_the_request_is_not_written_whole_is_no_time_out() -> None:
-    big = Outgoing(b"POST", b"/api", [(b"host", b"x"), (b"content-length", b"30000000")], b"x" * 30_000_000)
+    big = replace(ONCE, headers=[(b"host", b"x"), (b"content-length", b"30000000")], body=b"x" * 30_000_000)
 
     async def test() -> None:
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -356,7 +358,7 @@
         async with peer(handle) as b:
             out = Pool(0.25, 30.0, 10).attempt(
                 Endpoint(1, ("127.0.0.1", b.port)),
-                Outgoing(b"POST", b"/api", head, b"x" * size),
+                replace(ONCE, headers=head, body=b"x" * size),
                 5.0,
                 lambda how, _: ended.set_result(how),
             )
