Leave a keyed repeat the time for its connection within what backends remember

Seen by a test: with a window of 1 s and connections that may take 250 ms, a repeat was sent off 0.8 s after the first attempt. It goes out once a connection stands, so possibly 1.05 s after, when the first may have run and is forgotten: the effect happens twice.

At fault: decide.py, `_legal`, which held the moment of the decision against the window.

Ruled out: the start of the window. It is counted from the first attempt's decision, which is never after its send.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -484,7 +484,11 @@
         ran = [a for a in life.attempts if a.may_have_run]
         if not ran or cls.repeat is i.Repeat.SAFE:
             return self.subset
-        if cls.repeat is i.Repeat.UNSAFE or now + self.margin >= ran[0].sent_at + cls.window_us:
+        if cls.repeat is i.Repeat.UNSAFE:
+            return ()
+        # It goes out only once a connection stands, and must still fall within what backends remember.
+        out_by = now + self.margin + self.settings.limits.connect_timeout_us
+        if out_by >= ran[0].sent_at + cls.window_us:
             return ()
         if cls.scope is i.Scope.ALL:
             return self.subset
--- a/snowvalve/interface.py
+++ b/snowvalve/interface.py
@@ -128,10 +128,12 @@
     cancel: bool = False
     probing: bool = False  # backends answer a probe
     retry_after_us: int = 0  # the longest wait that a client heeds; 0: none is told
+    connect_timeout_us: int = 0  # a request may go out this long after its `Send`, once a connection stands
 
     def __post_init__(self) -> None:
         require(self.max_attempts >= 1, "max_attempts", "is below one")
         require(self.retry_after_us >= 0, "retry_after_us", "is negative")
+        require(self.connect_timeout_us >= 0, "connect_timeout_us", "is negative")
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -84,6 +84,7 @@
                     if optional(limits, "retryAfter", False, most)
                     else 0
                 ),
+                connect_timeout_us=optional(limits, "connectTimeoutUs", 0, most),
             ),
             tenants=tuple(
                 i.Tenant(
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -25,6 +25,18 @@
     assert len(only(hand.end(send, i.Outcome.ERROR), i.Send)) == sent
 
 
+@pytest.mark.parametrize(("after", "sent"), [(700 * MS, 1), (800 * MS, 0)])
+def test_a_keyed_repeat_keeps_within_the_memory_though_its_connection_comes_up_late(
+    after: int, sent: int
+) -> None:
+    keyed = i.RequestClass("write", 6 * S, 9 * S, repeat=i.Repeat.KEYED, window_us=1 * S)
+    limits = i.Limits(max_attempts=3, connect_timeout_us=250 * MS)
+    hand = Hand(settings(classes=(keyed,), limits=limits))
+    [send] = only(hand.request("r", "write", patience=9 * S), i.Send)
+    hand.now += after
+    assert len(only(hand.end(send, i.Outcome.ERROR), i.Send)) == sent
+
+
 def test_a_keyed_repeat_stays_in_its_zone() -> None:
     keyed = i.RequestClass("write", 2 * S, 5 * S, i.Repeat.KEYED, i.Scope.ZONE, window_us=4 * S)
     for seed in range(8):
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -31,6 +31,7 @@
     "fall_us": lambda: i.Rules(fall_us=0),
     "must_ask_us": lambda: i.Rules(must_ask_us=0),
     "max_attempts": lambda: i.Limits(max_attempts=0),
+    "connect_timeout_us": lambda: i.Limits(connect_timeout_us=-1),
 }
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -58,6 +58,7 @@
     assert (told.listen, told.discovery) == (("127.0.0.1", 7), ("127.0.0.1", 8))
     assert told.seed == 0x8C1F30D27A5BE964
     assert (told.connect_timeout_s, told.idle_s) == (0.25, 30.0)
+    assert told.settings.limits.connect_timeout_us == 250_000
 
 
 def test_a_later_file_counts_where_the_environment_was_its_copy(tmp_path: Path) -> None:
