Hold what happens where an attempt is given up as its connection comes up

A lead from reading, ruled out: a cancel that crosses a connect which has just finished might have left the connection open and counted. It does not: asyncio hands the cancel to the task at its last wait inside the connect and closes the transport there.

The test forces that turn of the loop, with the connection up and its task woken but not run, for a cancel, a withdrawal, a drain and a time-out. Nothing is changed in the program.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,7 +11,7 @@
 from snowvalve.interface import Outcome
 from snowvalve.net import upstream
 from snowvalve.net.upstream import Address, Endpoint, Outgoing, Pool, Reply
-from tests.net_helpers import answer, backend, peer, read_message, run
+from tests.net_helpers import answer, backend, peer, read_message, run, until
 
 REQUEST = Outgoing(
     b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
@@ -371,6 +371,39 @@
     run(test)
 
 
+@pytest.mark.parametrize("how", ["cancel", "withdraw", "bar", "time out"])
+def test_giving_up_as_the_connection_has_just_come_up_leaves_none_open(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It stands, and the task that waited for it has been woken and has not run yet."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"ok")) as b:
+            pool, endpoint = Pool(0.25, 30.0, 10), Endpoint(1, ("127.0.0.1", b.port))
+            ended: list[Outcome] = []
+            made = upstream.Connection.connection_made
+
+            def crossed(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+                made(connection, transport)
+                pool.loop.call_soon(cross)  # in the next turn, before the task, which this one wakes later
+
+            def cross() -> None:
+                assert out._connection is None and not out.over and pool._open
+                {
+                    "cancel": out.cancel,
+                    "withdraw": out.withdraw,
+                    "bar": lambda: pool.bar(endpoint),
+                    "time out": out._timed_out,
+                }[how]()
+
+            monkeypatch.setattr(upstream.Connection, "connection_made", crossed)
+            out = pool.attempt(endpoint, REQUEST, 5.0, lambda outcome, _: ended.append(outcome))
+            await until(lambda: b.connections == 1 and not pool._open and not pool._coming)
+            assert len(ended) == 1 and not pool._idle and not pool.waiting and b.seen == []
+
+    run(test)
+
+
 def test_a_connection_that_ended_while_idle_is_not_used() -> None:
     async def test() -> None:
         ended = asyncio.Event()
