--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -19,9 +19,11 @@
 log = logging.getLogger(__name__)
 
 # What a silent watch misses counts as told after 6 s, and 4 s after a move. So one that misses a beat, due
-# every 2 s, has another second; the first text is due at once, as the agent is on this machine.
+# every 2 s, has another second. The first text is due at once where lists are pushed, as the agent is on this
+# machine; where they are asked for, the call first waits its turn, for 2 s before it fails.
 SILENCE_S = 3.0
-ANSWER_S = 1.0
+PUSHED_S = 1.0
+ASKED_S = 2.5
 TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
 STATES = {
     "in_service": i.Condition.UP,
@@ -133,8 +135,8 @@
         address: Address,
         on_list: Callable[[TargetList], None],
         on_broken: Callable[[], None],
+        answer_s: float,
         silence_s: float = SILENCE_S,
-        answer_s: float = ANSWER_S,
     ) -> None:
         self._address, self._on_list, self._on_broken = address, on_list, on_broken
         self._silence_s, self._answer_s = silence_s, answer_s
--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -12,7 +12,7 @@
 
 from snowvalve import interface as i
 from snowvalve.decide import Balancer
-from snowvalve.net.discovery import TargetList, Watch
+from snowvalve.net.discovery import ASKED_S, PUSHED_S, TargetList, Watch
 from snowvalve.net.upstream import Address, Attempt, Endpoint, Outgoing, Pool, Reply
 
 log = logging.getLogger(__name__)
@@ -69,7 +69,8 @@
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
         self._pool = pool
-        self._watch = Watch(discovery, self._on_list, self._on_broken)
+        answer_s = ASKED_S if settings.must_subscribe else PUSHED_S
+        self._watch = Watch(discovery, self._on_list, self._on_broken, answer_s)
         self.informed = asyncio.Event()  # discovery has said what there is, or has failed to
         self._balancer = Balancer(settings, seed)
         self._unsafe = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
