Start at once by the list as known where lists are asked for

Seen by a test: where lists are asked for, the proxy did not listen until its first call had been answered, which may wait 2 s for its turn, or had failed. Nothing is gained by that: there a change counts as told only once it has come.

Ruled out: a start that knows no list. It would be ready for nothing, and goes on waiting.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -71,7 +71,7 @@
         self._pool = pool
         answer_s = ASKED_S if settings.must_subscribe else PUSHED_S
         self._watch = Watch(discovery, self._on_list, self._on_broken, answer_s)
-        self.informed = asyncio.Event()  # discovery has said what there is, or has failed to
+        self.informed = asyncio.Event()  # discovery has said what there is, or need not be waited for
         self._balancer = Balancer(settings, seed)
         self._unsafe = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self._events: deque[i.Event] = deque()
@@ -91,6 +91,8 @@
         if known is not None:
             self._watch.since = known.version
             self._take_list(known, i.ListForm.REMEMBERED)
+            if self._balancer.settings.must_subscribe:  # nothing counts as told there before it has come
+                self.informed.set()
         if not self._balancer.settings.must_subscribe:
             self._watch.start()
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -115,11 +115,14 @@
         await made.wait()
 
 
-async def port_of(made: asyncio.subprocess.Process) -> int:
+async def port_of(made: asyncio.subprocess.Process, said: list[str] | None = None) -> int:
+    """The port that it says it listens on; what it says before that is kept."""
     assert made.stderr is not None
     while True:
         line = (await made.stderr.readline()).decode()
         assert line, "it ended before it listened"
+        if said is not None:
+            said.append(line)
         if "listens on" in line:
             return int(line.rsplit(":", 1)[1])
 
@@ -329,6 +332,7 @@
                 listen=f"127.0.0.1:{port}",
                 discovery=f"127.0.0.1:{d.port}",
                 known=listing(entry("a", a.port), rev=1),
+                settings=raw_settings(limits=LIMITS, registryMode="automatic"),
             )
             async with process(write(tmp_path, told)) as made:
                 await asked.wait()
@@ -349,6 +353,39 @@
     run(test)
 
 
+@pytest.mark.parametrize("known", [True, False])
+def test_where_lists_are_asked_for_only_one_that_knows_none_waits_for_the_first(
+    tmp_path: Path, known: bool
+) -> None:
+    """Nothing counts as told there before it has come, and the call may wait for its turn."""
+
+    async def test() -> None:
+        asked, go_on = asyncio.Event(), asyncio.Event()
+
+        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            await go_on.wait()
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("a", a.port), rev=2)))
+            await reader.read()
+
+        async with backend(answer(200, b"a")) as a, peer(hold) as d:
+            told = config(discovery=f"127.0.0.1:{d.port}")
+            if known:
+                told["known"] = listing(entry("a", a.port), rev=1)
+            async with process(write(tmp_path, told)) as made:
+                await asked.wait()
+                if not known:
+                    go_on.set()
+                said: list[str] = []
+                reader, writer = await asyncio.open_connection("127.0.0.1", await port_of(made, said))
+                assert not any("watch on discovery broke" in line for line in said)
+                writer.write(call())
+                assert (await read_message(reader))[2] == b"a"
+
+    run(test)
+
+
 def test_sighup_moves_the_watch_and_keeps_the_rest(tmp_path: Path) -> None:
     """A bad file changes nothing; a good one's discovery is followed though its versions are lower."""
 
