--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -302,10 +303,12 @@
 
 
 def free_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port: int = free.getsockname()[1]
-        return port
+    """One that the system gives nobody by itself, so that it stays free."""
+    for port in range(20_000, 30_000):
+        with socket.socket() as free, contextlib.suppress(OSError):
+            free.bind(("127.0.0.1", port))
+            return port
+    raise OSError("no free port")
 
 
 @pytest.mark.parametrize("then", ["list", "silence", "SIGTERM"])
