Let a connection whose client has just left make room for others

Seen by a test: a connection whose client had sent a request and left, with all of that unread, was passed over as one that brings a request, and the newcomer was turned away.

Ruled out: a request that is lost by it. Its client is gone, and it would not be sent on any more.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -200,8 +200,8 @@
 
     @property
     def brings_more(self) -> bool:
-        """Has more of a request come, perhaps its end, that is still to be read?"""
-        return not self._lingering and unread(self.transport)
+        """Has more of a request come that is still to be read, from a client that is still there?"""
+        return not self._lingering and unread(self.transport) and not hung_up(self.transport)
 
     @property
     def _unread(self) -> bool:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -792,6 +792,27 @@
     run(test)
 
 
+def test_a_connection_whose_client_has_just_left_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What it has left unread is nobody's request any more."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("s-1", b.port), most=1) as p:
+            client = Bare(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            crowded_by = p.frontend.crowded_by
+
+            def crossed(newcomer: frontend.CallerConnection) -> bool:
+                client.send(call(id="r1"))
+                client.socket.close()
+                return crowded_by(newcomer)
+
+            monkeypatch.setattr(p.frontend, "crowded_by", crossed)
+            assert status(await p.ask(call(id="r2"))) == 200
+            assert len(b.seen) == 1
+
+    run(test)
+
+
 def test_connections_that_the_system_has_taken_in_are_served_though_listening_ends() -> None:
     """With more of them than are taken in at once, their requests sent and none of it read."""
 
