Tell a backend the time that is left as the request is written, not as it was decided

Cause: Driver._send wrote Req-Deadline from send.timeout_us in the moment of the decision; the bytes go out when the attempt's connection has come up, which may be much later. Change: Connection.send writes the header from what the attempt's own time-out still leaves, which the client's time and the margin for the way back bound already. Probes tell none, as before. Result: forced, a connection that comes up 1.5 s late told 4.0 s before and 2.5 s now; through the whole proxy the first and the further attempt tell what is left, less the margin. Both tests were seen to fail without the change. Ruled out: kept connections, written to in the moment of the decision; a second write of one attempt, there is none.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -32,7 +32,9 @@
 FAILED = Answer(502)
 INFLIGHT = re.compile(rb"(?:^|,)(?:busy_reqs|inflight)=([0-9]{1,9}(?:\.[0-9]{1,9})?)(?:,|$)")
 PROBE_S = 0.4  # a probe that has brought nothing by then has failed
-PROBE = Outgoing(b"GET", b"/status/load", [(b"host", b"localhost")], b"", repeatable=True)
+PROBE = Outgoing(
+    b"GET", b"/status/load", [(b"host", b"localhost")], b"", repeatable=True, tells_deadline=False
+)
 
 
 @dataclass(slots=True)
@@ -272,11 +274,10 @@
         def done(outcome: i.Outcome, reply: Reply | None) -> None:
             self._ended(send, number, sent_at, outcome, reply)
 
-        deadline = b"%.6f" % (send.timeout_us / 1e6)
         request = Outgoing(
             caller.method,
             caller.target,
-            [*caller.headers, (b"req-deadline", deadline)],
+            caller.headers,
             caller.body,
             repeatable=caller.class_name not in self._unsafe,
         )
--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -53,6 +53,7 @@
     headers: Headers
     body: bytes
     repeatable: bool  # it may be sent again where it may have run
+    tells_deadline: bool = True  # in a header, as the time left when it is written
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,11 @@
         self.over = False
         self._timer = pool.loop.call_later(timeout_s, self._timed_out)
 
+    @property
+    def left_s(self) -> float:
+        """Seconds until it times out."""
+        return max(0.0, self._timer.when() - self._pool.loop.time())
+
     def begin(self) -> None:
         # Guards what can't be sent again: a kept connection may have ended with no word of it yet.
         connection = self._pool.take(self.endpoint) if self._request.repeatable else None
@@ -211,8 +217,11 @@
         self._head = None
         self._interim = 0
         self._body.clear()
+        headers = request.headers
+        if request.tells_deadline:  # by now: the connection may have come up long after the decision to send
+            headers = [*headers, (b"req-deadline", b"%.6f" % attempt.left_s)]
         try:
-            head = h11.Request(method=request.method, target=request.target, headers=request.headers)
+            head = h11.Request(method=request.method, target=request.target, headers=headers)
             parts = [self._http.send(head)]
             if request.body:
                 parts.append(self._http.send(h11.Data(data=request.body)))
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,7 +9,7 @@
 import pytest
 
 from snowvalve import interface as i
-from snowvalve.net import frontend, upstream
+from snowvalve.net import driver, frontend, upstream
 from snowvalve.net.driver import LAG_MARGIN_US, Caller
 from tests.helpers import settings
 from tests.net_helpers import (
@@ -905,3 +905,38 @@
             assert b.seen[1][1]["idempotency-key"] == "k"
 
     run(test)
+
+
+def test_each_attempt_tells_its_backend_what_is_left_as_it_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The first one and a further one, though the connection of each comes up late."""
+
+    async def test() -> None:
+        clock, permits, asked = SteppedClock(), asyncio.Semaphore(0), 0
+        now_us = driver.Clock.now_us
+        monkeypatch.setattr(driver.Clock, "now_us", lambda self: now_us(self) + round(clock.ahead * 1e6))
+        async with backend(answer(500)) as a, proxy(entry("s-1", a.port), entry("s-2", a.port)) as p:
+            connect = p.pool.connect
+
+            async def held(endpoint: upstream.Endpoint) -> upstream.Connection:
+                nonlocal asked
+                asked += 1
+                await permits.acquire()
+                return await connect(endpoint)
+
+            monkeypatch.setattr(p.pool, "connect", held)
+            got = asyncio.ensure_future(p.ask(call(Req_Deadline="1.9")))
+            for number, late in ((1, 0.4), (2, 0.8)):
+                await until(lambda number=number: asked == number)  # type: ignore[misc]
+                clock.step(late)
+                permits.release()
+            await until(lambda: len(a.seen) == 2)
+            first, second = (float(headers["req-deadline"]) for _, headers, _ in a.seen)
+            margin = LAG_MARGIN_US / 1e6
+            assert 1.0 < first <= 1.9 - 0.4 - margin
+            assert 0.2 < second <= 1.9 - 1.2 - margin
+            permits.release()
+            assert status(await got) == 503
+
+    run(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,7 +11,7 @@
 from snowvalve.interface import Outcome
 from snowvalve.net import upstream
 from snowvalve.net.upstream import Address, Endpoint, Outgoing, Pool, Reply
-from tests.net_helpers import answer, backend, peer, read_message, run, until
+from tests.net_helpers import Gate, SteppedClock, answer, backend, peer, read_message, run, until
 
 REQUEST = Outgoing(
     b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
@@ -498,3 +498,22 @@
         assert (await attempt(pool, ("127.0.0.1", 1)))[0] is Outcome.NOT_SENT
 
     run(test)
+
+
+def test_the_time_told_is_what_is_left_as_the_request_is_written() -> None:
+    """A connection may come up long after the decision to send."""
+
+    async def test() -> None:
+        clock = SteppedClock()
+        async with backend(answer(200, b"ok")) as b:
+            pool = Pool(60.0, 30.0, 10)
+            gate = Gate(pool)
+            out = asyncio.ensure_future(attempt(pool, ("127.0.0.1", b.port), timeout_s=4.0))
+            await until(lambda: gate.waiting == 1)
+            clock.step(1.5)
+            gate.opened.set()
+            assert (await out)[0] is Outcome.OK
+            assert 2.0 < float(b.seen[0][1]["req-deadline"]) <= 2.5
+            pool.close()
+
+    run(test)
