Look whether a client is still there before each attempt for it

Cause: a client's end is known to the driver one turn of the event loop after it has been read. What the module decides until then, it decides for somebody who has left: a further attempt where the outcome of the last one is read first (Driver._send, with nothing but the open request to go by), or the first one of a held request where a backend comes free just then. A turn that runs late, or a connection whose reading is paused, makes that any length of time.

Change: a Caller carries `present`, which asks the system; Driver._send asks it before each send, as CallerConnection._whole did before the hand-over. One that has left ends like any that is known to have, and its send as not sent. One poll more for each attempt.

Result, forced on real sockets: the answer that makes the next send and the client's end are both with the system before the loop turns, the answer is handed over first. With the question taken out of Driver._send all 12 cases failed (closed, half closed and reset; cancels allowed or not), with it they pass. A client that stays still gets its further attempt.

Ruled out: requests whose connection to a backend is coming up (withdrawn, by tests that stand); a second outcome for the send (AttemptEnded comes once, and the module keeps nothing).

A client that ends only its sending counts as gone, as before.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -48,6 +48,7 @@
     headers: list[tuple[bytes, bytes]]  # those that go on to the backend
     body: bytes
     answer: Callable[[Answer], None]
+    present: Callable[[], bool]  # is the client still there, by what the system knows at this moment?
     sends: int = field(default=0, init=False)
     overdue: asyncio.TimerHandle | None = field(default=None, init=False)
 
@@ -268,6 +269,10 @@
             return
         number = caller.sends
         caller.sends += 1
+        if not caller.present():  # guards against work for nobody: its end may not have been read yet
+            self.gone(send.request)
+            self._ended(send, number, sent_at, i.Outcome.NOT_SENT, None)
+            return
 
         def done(outcome: i.Outcome, reply: Reply | None) -> None:
             self._ended(send, number, sent_at, outcome, reply)
--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -334,9 +334,6 @@
             raise BadRequest(409, "the id of an open request")
         if self._body or head.method != b"GET":
             head.headers.append((b"content-length", b"%d" % len(self._body)))
-        if hung_up(self.transport):
-            self.transport.abort()
-            return
         caller = Caller(
             class_name=head.class_name,
             # Its time counts from when its last byte came, however long it waited behind another.
@@ -348,13 +345,22 @@
             headers=head.headers,
             body=bytes(self._body),
             answer=self._answer,
+            present=self._present,
         )
+        if not self._present():
+            return
         self._front.ids.add(head.id)
         self._waiting = True
         key = self._front.driver.request(caller)
         if self._waiting:
             self._key = key
 
+    def _present(self) -> bool:
+        """Is the client still there? Ends the connection of one that has left."""
+        if not self.transport.is_closing() and hung_up(self.transport):
+            self.transport.abort()
+        return not self.transport.is_closing()
+
     def _over(self) -> None:
         """The present request is no longer open."""
         if self._waiting and self._head is not None:
