See within 0.03 s that a client which is not read has left

Cause: past AHEAD_MOST bytes ahead of its turn a connection is not read (pause_reading in CallerConnection._proceed), and the event loop sees nothing of it. What its request was waiting for until then, a backend that comes free or a connection that comes up, went on.

Change: those with an open request that are not read are kept in a set, and one timer, which runs only while there are any, asks for their end every 0.03 s. Idle connections, and those that are read, are not asked.

Ruled out: cost. 10 steps of an idle and a busy connection ask the system nothing.

Not covered: a client that closes while it still has unsent bytes of more than the system takes for us; its end comes behind them, and nothing tells of it before they are read, or until our next write meets a reset.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -36,6 +36,9 @@
 ACCEPT_AGAIN_S = 0.05  # wait where there is no descriptor for a connection
 SURPLUS_MOST = 8  # connections over the limit that are told so; any more are just closed
 SWEEP_S = 0.2  # how often connections are checked for these limits
+# How often those that are not read are asked whether their client is still there: no attempt may begin for it
+# more than 0.1 s after it has left, and the event loop may be late.
+PAUSED_S = 0.03
 BUSY = Answer(503, headers=((b"retry-after", b"1"),))  # to a connection that we have no descriptors for
 
 
@@ -53,6 +56,9 @@
         self.loose: dict[CallerConnection, None] = {}
         self.idle: dict[CallerConnection, None] = {}
         self.ids: set[bytes] = set()  # of the requests that are open
+        # Those with a request open that are not read, so that the event loop does not see them end.
+        self.paused: set[CallerConnection] = set()
+        self._looker: asyncio.TimerHandle | None = None  # runs while there are any
         self.ahead = 0  # bytes that came ahead of their turn, from all callers
         self.leaving = False  # no longer ready
         self.closing = False  # connections are closed as they fall idle
@@ -134,6 +140,7 @@
 
     def left(self, connection: CallerConnection) -> None:
         self.open.discard(connection)
+        self.paused.discard(connection)
         self.stands(connection, None)
 
     def close_idle(self) -> None:
@@ -154,6 +161,20 @@
 
     def close(self) -> None:
         self._sweeper.cancel()
+        if self._looker is not None:
+            self._looker.cancel()
+
+    def pauses(self, connection: CallerConnection) -> None:
+        """Its request is open and it is not read: it is asked soon, and again, whether its client left."""
+        self.paused.add(connection)
+        if self._looker is None:
+            self._looker = self.loop.call_later(PAUSED_S, self._look)
+
+    def _look(self) -> None:
+        self._looker = None
+        for connection in list(self.paused):
+            if connection.present():
+                self.pauses(connection)
 
     def _sweep(self) -> None:
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -259,8 +280,6 @@
         """Closes a connection that has stood still for too long."""
         still = now - self._since
         if self._waiting:
-            if not self.transport.is_reading() and hung_up(self.transport):
-                self.transport.abort()
             return
         if self._lingering:
             most = LINGER_S
@@ -305,6 +324,10 @@
             self.transport.pause_reading()  # guards memory: clients send one request at a time
         else:
             self.transport.resume_reading()
+        if self._waiting and not self.transport.is_reading():
+            self._front.pauses(self)
+        else:
+            self._front.paused.discard(self)
 
     def _begin(self, event: h11.Request) -> None:
         """A request's head has come."""
@@ -345,9 +368,9 @@
             headers=head.headers,
             body=bytes(self._body),
             answer=self._answer,
-            present=self._present,
+            present=self.present,
         )
-        if not self._present():
+        if not self.present():
             return
         self._front.ids.add(head.id)
         self._waiting = True
@@ -355,8 +378,8 @@
         if self._waiting:
             self._key = key
 
-    def _present(self) -> bool:
-        """Is the client still there? Ends the connection of one that has left."""
+    def present(self) -> bool:
+        """Is the client still there, by what the system knows now? Ends the connection of one that is not."""
         if not self.transport.is_closing() and hung_up(self.transport):
             self.transport.abort()
         return not self.transport.is_closing()
@@ -366,6 +389,7 @@
         if self._waiting and self._head is not None:
             self._front.ids.discard(self._head.id)
         self._waiting, self._head = False, None
+        self._front.paused.discard(self)
 
     def _answer(self, answer: Answer, last: bool = False) -> None:
         """Writes the one final answer."""
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -11,11 +11,13 @@
 import pytest
 
 from snowvalve import interface as i
-from snowvalve.net import upstream
+from snowvalve.net import frontend, upstream
 from tests.helpers import settings
 from tests.net_helpers import (
+    Gate,
     Peer,
     Proxy,
+    SteppedClock,
     answer,
     call,
     entry,
@@ -156,3 +158,112 @@
                 assert nothing_left(p)
 
     run(test)
+
+
+LATEST_S = 0.1  # from a client's end to the last attempt that may begin for it
+WHERE = ["held", "connecting", "out"]
+
+
+async def pause(p: Proxy, client: Client, id: str = "r0") -> frontend.CallerConnection:
+    """The client's request, and so much behind it that the proxy ceases to read."""
+    before = set(p.frontend.open)
+    client.socket.setblocking(False)
+    sent = call(id=id) + call("mark", id="behind", body=b"x" * 60_000)
+    await asyncio.get_running_loop().sock_sendall(client.socket, sent)
+    await until(lambda: len(p.frontend.open - before) == 1)
+    [connection] = p.frontend.open - before
+    await until(lambda: not connection.transport.is_reading())
+    return connection
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("where", WHERE)
+@pytest.mark.parametrize("cancel", [True, False])
+def test_one_that_is_not_read_is_known_to_have_left_well_before_an_attempt_may_begin_no_more(
+    way: str, where: str, cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With half of the time kept for an event loop that is late; the sweep, which is slower, is stopped."""
+    monkeypatch.setattr(frontend, "AHEAD_MOST", 10_000)
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), setup=limits(cancel)) as p:
+            p.frontend._sweeper.cancel()
+            gate, clock = Gate(p.pool), SteppedClock()
+            crowd: list[Client] = []
+            if where != "connecting":
+                gate.opened.set()
+            if where == "held":
+                while not p.driver._balancer.held:
+                    crowd.append(Client(p))
+                    crowd[-1].send(call(id=f"c{len(crowd)}"))
+                    await until(lambda: len(p.driver._balancer.lives) == len(crowd))
+                crowd.pop().leave("FIN")
+                await until(lambda: not p.driver._balancer.held)
+            client = Client(p)
+            connection = await pause(p, client)
+            if where == "connecting":
+                await until(lambda: gate.waiting == 1)
+            elif where == "out":
+                await until(lambda: len(b.seen) == 1)
+            else:
+                assert p.driver._balancer.held
+            key = connection._key
+            assert key is not None
+            client.leave(way)
+            await settled()
+            assert connection in p.frontend.open  # the event loop does not see it
+            clock.step(LATEST_S / 2)
+            await settled()
+            assert connection not in p.frontend.open and key not in p.driver._callers
+            gate.opened.set()
+            for (request, _), attempt in list(p.driver._attempts.items()):
+                assert attempt._connection is not None
+                attempt._connection.data_received(FAILURE if request == key else answer(200, b"x"))
+            await settled()
+            mine = [headers["req-id"] for _, headers, _ in b.seen if not headers["req-id"].startswith("c")]
+            assert mine == (["r0"] if where == "out" else []) and not p.frontend.paused
+            for other in crowd:
+                other.leave("FIN")
+            await until(lambda: not p.frontend.open)
+
+    run(test)
+
+
+def test_only_those_that_are_not_read_are_asked_again_and_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An idle connection costs nothing, nor does one with a request open that is read."""
+    monkeypatch.setattr(frontend, "AHEAD_MOST", 10_000)
+    asked: list[asyncio.BaseTransport] = []
+    hung_up = upstream.hung_up
+
+    def counted(transport: asyncio.BaseTransport) -> bool:
+        asked.append(transport)
+        return hung_up(transport)
+
+    monkeypatch.setattr(frontend, "hung_up", counted)
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            clock, idle, busy = SteppedClock(), Client(p), Client(p)
+            busy.send(call(id="busy"))
+            await until(lambda: len(b.seen) == 1 and len(p.frontend.open) == 2)
+            asked.clear()
+            for _ in range(10):
+                clock.step(0.05)
+                await settled()
+            assert not asked and p.frontend._looker is None
+            client = Client(p)
+            connection = await pause(p, client)
+            for _ in range(10):
+                clock.step(0.05)
+                await settled()
+            assert len(asked) >= 10 and set(asked) == {connection.transport}
+            p.driver.give_up()
+            await until(lambda: not p.frontend.paused)
+            for one in (idle, busy, client):
+                one.leave("RST")
+            await until(lambda: not p.frontend.open)
+            clock.step(0.05)
+            await settled()
+            assert p.frontend._looker is None
+
+    run(test)
