Answer what has come behind an open request on a connection that ends

Cause: from close_idle on, and on connections over the limit, each answer said `Connection: close` (CallerConnection._answer: `last or closing or surplus`), and _linger threw away what had come behind it. A client that sends ahead lost requests that had been read, or that stood with the system, at every planned end.

Change: such an answer is the last one only where nothing more of a request has come; the ones before keep the connection. At the end each still gets what the rest of the time allows.

Result, forced on real sockets: one or three requests behind an open one, read or still with the system as the first answer is written, each get their own answer, and the last of them ends the connection; the proxy is not quiet before. Three on a connection over the limit are each refused.

Ruled out: a rejected request, behind which nothing can be told apart, and a client's own `Connection: close`: these still end the connection with their answer.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -398,7 +398,8 @@
         self._body.clear()
         if self.transport.is_closing():
             return
-        last = last or self._front.closing or self._surplus
+        if self._front.closing or self._surplus:  # what has come behind this one is owed its answer too
+            last = last or not (self._unread or self.brings_more)
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if last:
             headers.append((b"connection", b"close"))
--- /dev/null
+++ b/tests/test_last_answers.py
@@ -0,0 +1,79 @@
+"""Last answers: each whole, one for each request, and nothing sent on that came after."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.net_helpers import (
+    Streams,
+    answer,
+    call,
+    entry,
+    proxy,
+    read_message,
+    run,
+    until,
+)
+from tests.test_clients_gone import Client, out, silent
+from tests.test_frontend import status
+
+
+async def streams(client: Client) -> Streams:
+    client.socket.setblocking(False)
+    return await asyncio.open_connection(sock=client.socket)
+
+
+def closes(got: tuple[str, dict[str, str], bytes]) -> bool:
+    return got[1].get("connection") == "close"
+
+
+@pytest.mark.parametrize("behind", [1, 3])
+@pytest.mark.parametrize("read", [True, False])
+def test_requests_behind_one_that_is_open_at_the_end_are_answered(behind: int, read: bool) -> None:
+    """Only the last answer ends the connection, be what follows read or still with the system."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            client.send(call(id="r0"))
+            await until(lambda: len(b.seen) == 1)
+            p.frontend.close_idle()
+            client.send(b"".join(call(id=f"r{n + 1}") for n in range(behind)))
+            if read:
+                [connection] = p.frontend.open
+                await until(lambda: connection._ahead_size > 0)
+            for n in range(1 + behind):
+                await until(lambda n=n: len(b.seen) == n + 1)  # type: ignore[misc]
+                assert not p.frontend.quiet
+                out(p).data_received(answer(200, b"%d" % n))
+            reader, writer = await streams(client)
+            got = [await read_message(reader) for _ in range(1 + behind)]
+            assert [g[2] for g in got] == [b"%d" % n for n in range(1 + behind)]
+            assert [closes(g) for g in got] == [False] * behind + [True]
+            assert await reader.read() == b""
+            writer.close()
+            await until(lambda: p.frontend.quiet and not p.frontend.open)
+
+    run(test)
+
+
+def test_each_request_on_a_connection_over_the_limit_is_refused() -> None:
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            busy, surplus = Client(p), Client(p)
+            busy.send(call(id="busy"))
+            await until(lambda: len(b.seen) == 1)
+            surplus.send(call(id="r1") + call(id="r2") + call(id="r3"))
+            reader, writer = await streams(surplus)
+            got = [await read_message(reader) for _ in range(3)]
+            assert [status(g) for g in got] == [503] * 3
+            assert [closes(g) for g in got] == [False, False, True]
+            assert await reader.read() == b""
+            writer.close()
+            assert len(b.seen) == 1
+            busy.leave("FIN")
+            await until(lambda: not p.frontend.open)
+
+    run(test)
