Hold that nothing which comes after the last answer is sent on

A connection is shut for sending behind its last answer and read on, so that its end resets nothing. What is read then belongs to nobody: the client sends it again elsewhere. The test sends one and then two more requests after the shutdown, at the end of the proxy, behind a client's own close, a refusal and a bad request.

Seen to fail (for the bad request) with `_lingering` taken out of data_received and of the loop in _proceed; the other three are held by h11's state besides.

--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from snowvalve.net import frontend
 from tests.net_helpers import (
+    Proxy,
     Streams,
     answer,
     call,
@@ -16,7 +18,7 @@
     run,
     until,
 )
-from tests.test_clients_gone import Client, out, silent
+from tests.test_clients_gone import Client, out, settled, silent
 from tests.test_frontend import status
 
 
@@ -77,3 +79,44 @@
             await until(lambda: not p.frontend.open)
 
     run(test)
+
+
+@pytest.mark.parametrize("why", ["closing", "asked", "surplus", "bad"])
+def test_nothing_that_comes_after_the_last_answer_is_sent_on(why: str) -> None:
+    """The connection is shut by then; it is read on only so that its end resets nothing."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            busy = Client(p)
+            if why == "surplus":
+                busy.send(call(id="busy"))
+                await until(lambda: len(b.seen) == 1)
+            client = busy if why != "surplus" else Client(p)
+            first = {"asked": call(Connection="close"), "bad": call(id="")}.get(why, call())
+            client.send(first)
+            if why in ("closing", "asked"):
+                await until(lambda: len(b.seen) == 1)
+                p.frontend.closing = why == "closing"
+                out(p).data_received(answer(200, b"x"))
+            [connection] = [c for c in await shut(p) if c._lingering]
+            sent = len(b.seen)
+            client.send(call(id="late1"))
+            await settled()
+            client.send(call(id="late2") + call(id="late3"))
+            await settled()
+            reader, writer = await streams(client)
+            got = await read_message(reader)
+            assert status(got) == {"surplus": 503, "bad": 400}.get(why, 200) and closes(got)
+            assert await reader.read() == b""
+            assert connection in p.frontend.open and not connection._ahead and len(b.seen) == sent
+            writer.close()
+            await until(lambda: connection not in p.frontend.open)
+            busy.socket.close()
+
+    run(test)
+
+
+async def shut(p: Proxy) -> list[frontend.CallerConnection]:
+    """The connections, once one of them has been shut."""
+    await until(lambda: any(c._lingering for c in p.frontend.open))
+    return list(p.frontend.open)
