Make no room for others by cutting off an answer that is being written

Cause: a connection counts as idle, or as about to end, from the moment its answer is handed to the transport (CallerConnection._answer and _linger call `stands`), and Frontend.crowded_by aborted the first of those that brought nothing more. What the system had not taken of the answer was dropped with it: with a client that reads slowly and a crowd of new connections a request that had been served got half an answer.

Change: one that still has an answer to write makes no room.

Result, forced on real sockets with a small send buffer: the newcomer is refused and the slow client reads its 64 KiB whole, on a kept connection and on a last one. Without the change both cases fail.

Ruled out: answers that the system has taken; closing does not take these back as long as nothing stands unread.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -123,7 +123,7 @@
             # the room; below that, one that has just come is left the time to bring its request.
             flood = 2 * len(self.loose) >= self.most
             those = chain(self.loose, self.idle) if flood else chain(self.idle, self.loose)
-            spare = next((c for c in those if not c.brings_more), None)
+            spare = next((c for c in those if not (c.brings_more or c.writes)), None)
             if spare is not None:
                 self.left(spare)
                 spare.transport.abort()
@@ -208,7 +208,7 @@
     def done(self) -> bool:
         """Is it closing, with all that it owed written?"""
         closing = self._lingering or self.transport.is_closing()
-        return closing and not self.transport.get_write_buffer_size()
+        return closing and not self.writes
 
     def just_came(self, now: float) -> bool:
         """May its first request be on its way?"""
@@ -219,6 +219,11 @@
         """Is nothing of a request here?"""
         return not self._lingering and self._http.their_state is h11.IDLE and not self._unread
 
+    @property
+    def writes(self) -> bool:
+        """Is an answer here that the system has not taken yet?"""
+        return self.transport.get_write_buffer_size() > 0
+
     @property
     def brings_more(self) -> bool:
         """Has more of a request come that is still to be read, from a client that is still there?"""
@@ -283,7 +288,7 @@
             return
         if self._lingering:
             most = LINGER_S
-        elif self.transport.get_write_buffer_size():
+        elif self.writes:
             most = UNREAD_S
         elif self.idle and not self._fresh:
             most = IDLE_S
@@ -299,7 +304,7 @@
             return
         try:
             # An answer that is not read holds the next request back: guards memory.
-            while not (self._waiting or self._lingering or self.transport.get_write_buffer_size()):
+            while not (self._waiting or self._lingering or self.writes):
                 event = self._http.next_event()
                 match event:
                     case h11.Request():
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -11,6 +11,7 @@
     Proxy,
     Streams,
     answer,
+    backend,
     call,
     entry,
     proxy,
@@ -19,7 +20,7 @@
     until,
 )
 from tests.test_clients_gone import Client, out, settled, silent
-from tests.test_frontend import status
+from tests.test_frontend import narrow, slow_reader, status
 
 
 async def streams(client: Client) -> Streams:
@@ -120,3 +121,22 @@
     """The connections, once one of them has been shut."""
     await until(lambda: any(c._lingering for c in p.frontend.open))
     return list(p.frontend.open)
+
+
+@pytest.mark.parametrize("last", [True, False])
+def test_an_answer_that_is_being_written_makes_no_room_for_others(last: bool) -> None:
+    """Its connection counts as idle, or as about to end, from its last byte's hand-over on."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x" * 65_536)) as b, proxy(entry("b", b.port), most=1) as p:
+            narrow(p)
+            reader, writer = await slow_reader(p)
+            writer.write(call(id="slow", Connection="close" if last else "keep-alive"))
+            await until(lambda: any(c.writes for c in p.frontend.open))
+            assert status(await p.ask(call(id="new"))) == 503
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert len((await read_message(reader))[2]) == 65_536
+            writer.close()
+            await until(lambda: not p.frontend.open)
+
+    run(test)
