Leave the last answer on a connection the time that any answer has

Cause: CallerConnection.check looked at `lingering` before it looked at what was still to be written. An answer with `Connection: close`, be it at the client's wish, over HTTP/1.0 or at the proxy's end, was cut off 1 s after its hand-over (LINGER_S) where any other has 5 s (UNREAD_S); and what still came afterwards was read for what was left of that second, at worst for nothing.

Change: what is still to be written goes first, and the second for what still comes begins when all is written.

Result, forced with a stepped clock and a small send buffer: 4.5 s after the hand-over the rest of a last answer is still there and is read whole, its end comes behind it, and the connection goes 1 s after that. An answer on a kept connection did this before.

Ruled out: answers to bad requests; they are short, the system takes them at once, so the limit for these stays.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -279,6 +279,8 @@
         self._ahead.clear()
 
     def resume_writing(self) -> None:
+        if self._lingering:
+            self._since = self._front.loop.time()
         self._proceed()
 
     def check(self, now: float) -> None:
@@ -286,10 +288,10 @@
         still = now - self._since
         if self._waiting:
             return
-        if self._lingering:
-            most = LINGER_S
-        elif self.writes:
+        if self.writes:
             most = UNREAD_S
+        elif self._lingering:
+            most = LINGER_S
         elif self.idle and not self._fresh:
             most = IDLE_S
         else:
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -9,6 +9,7 @@
 from snowvalve.net import frontend
 from tests.net_helpers import (
     Proxy,
+    SteppedClock,
     Streams,
     answer,
     backend,
@@ -140,3 +141,32 @@
             await until(lambda: not p.frontend.open)
 
     run(test)
+
+
+@pytest.mark.parametrize("last", [True, False])
+def test_an_answer_is_kept_for_a_client_that_reads_it_slowly(last: bool) -> None:
+    """Also where it is the last one, and then the end comes behind it and not instead of its rest."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x" * 65_536)) as b, proxy(entry("b", b.port)) as p:
+            narrow(p)
+            clock = SteppedClock()
+            reader, writer = await slow_reader(p)
+            writer.write(call(id="slow", Connection="close" if last else "keep-alive"))
+            await until(lambda: any(c.writes for c in p.frontend.open))
+            [connection] = p.frontend.open
+            clock.step(frontend.UNREAD_S - 0.5)
+            await settled()
+            assert connection in p.frontend.open and connection.writes
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert len((await read_message(reader))[2]) == 65_536
+            await until(lambda: not connection.writes)
+            connection.check(p.frontend.loop.time())
+            assert connection in p.frontend.open and not connection.transport.is_closing()
+            if last:
+                assert await reader.read() == b""
+                clock.step(frontend.LINGER_S + frontend.SWEEP_S)
+                await until(lambda: not p.frontend.open)
+            writer.close()
+
+    run(test)
