Take in a little of what one caller sends in each turn of the event loop

Cause: the loop in CallerConnection._proceed went on for as long as h11 had something whole: thousands of requests that are answered at once (/ready, refusals) or chunks of a byte each were worked off in one go, up to 256 KiB of them, while all other callers, backends and timers waited.

Change: one request, or 100 of h11's events, in a turn; the rest in the next one.

Ruled out: loss of speed for usual requests, which have fewer than ten events and come one at a time.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -25,6 +25,7 @@
 # full size that a proper one may send: behind bytes that are not read, its leaving could not be seen.
 AHEAD_MOST = 1024 * 1024
 AHEAD_ALL = 4 * 1024 * 1024
+EVENTS_AT_ONCE = 100  # parts of requests (a head, a chunk, an end) that one caller's turn takes in
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
 FIRST_S = 0.2  # after its connect a client has sent its first request
 COMING_S = 0.4  # and this much later where more of it has just come
@@ -203,6 +204,7 @@
         self._came = self._since  # when the bytes came that h11 has had
         self._ahead: deque[tuple[float, bytes]] = deque()  # those behind them, and when they came
         self._ahead_size = 0
+        self._turn_due = False  # what has come is gone on with in the event loop's next turn
 
     @property
     def done(self) -> bool:
@@ -261,7 +263,8 @@
             self._ahead.append((now, data[at : at + PIECE]))
         self._ahead_size += len(data)
         self._front.ahead += len(data)
-        self._proceed()
+        if not self._turn_due:
+            self._proceed()
 
     def _take_ahead(self) -> bool:
         """Hands h11 the next piece, where there is one."""
@@ -301,12 +304,18 @@
         self.transport.abort()
 
     def _proceed(self) -> None:
-        """Takes in what has come, up to the end of a request."""
+        """Takes in what has come, up to the end of a request.
+
+        One request at the most in one turn of the event loop: a caller may send thousands of requests or
+        chunks at once, and all others would wait for them.
+        """
         if self.transport.is_closing():  # the client has left: what it sent ahead goes nowhere
             return
         try:
             # An answer that is not read holds the next request back: guards memory.
-            while not (self._waiting or self._lingering or self.writes):
+            for _ in range(EVENTS_AT_ONCE):
+                if self._waiting or self._lingering or self.writes:
+                    break
                 event = self._http.next_event()
                 match event:
                     case h11.Request():
@@ -317,10 +326,13 @@
                             raise BadRequest(413, "too long")
                     case h11.EndOfMessage():
                         self._whole()
+                        break
                     case h11.NEED_DATA if self._take_ahead():
                         pass
                     case _:
                         break
+            else:
+                self._proceed_soon()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
         except BadRequest as error:
@@ -336,6 +348,15 @@
         else:
             self._front.paused.discard(self)
 
+    def _proceed_soon(self) -> None:
+        if not self._turn_due:
+            self._turn_due = True
+            self._front.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._turn_due = False
+        self._proceed()
+
     def _begin(self, event: h11.Request) -> None:
         """A request's head has come."""
         self._body.clear()
@@ -420,7 +441,7 @@
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             if self._unread:  # the next request came early
-                self._front.loop.call_soon(self._proceed)
+                self._proceed_soon()
             else:
                 self._front.stands(self, self._front.idle)
         else:
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,85 @@
+"""Callers that send too much, too little, or nothing that is a request: the others don't notice them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from snowvalve.net import frontend
+from tests.net_helpers import answer, backend, call, entry, proxy, read_message, run, until
+from tests.test_clients_gone import Client
+from tests.test_frontend import status
+from tests.test_last_answers import streams
+
+
+class Turns:
+    """The most that is done of something in one turn of the event loop."""
+
+    def __init__(self) -> None:
+        self.most = self._now = 0
+        self._loop = asyncio.get_running_loop()
+        self._turn()
+
+    def _turn(self) -> None:
+        self._now = 0
+        self._handle = self._loop.call_soon(self._turn)
+
+    def count(self) -> None:
+        self._now += 1
+        self.most = max(self.most, self._now)
+
+    def stop(self) -> None:
+        self._handle.cancel()
+
+
+def chunks(count: int) -> bytes:
+    """A request whose body comes one byte a chunk."""
+    head = call("mark", id="chunks", Content_Length="0").replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    return head + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "answers"),
+    [
+        (call(path="/ready") * 1000, 1000),
+        (b"".join(call(id=f"r{n}", Req_Deadline="0") for n in range(1000)), 1000),  # ended as they come
+        (chunks(20_000), 1),
+    ],
+    ids=["ready", "refused", "chunks"],
+)
+def test_what_comes_at_once_is_taken_in_a_little_in_each_turn(
+    sent: bytes, answers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            events, answered = Turns(), Turns()
+            counted(monkeypatch, connection._http, "next_event", events)
+            counted(monkeypatch, connection, "_answer", answered)
+            reader, writer = await streams(client)
+            writer.write(sent)
+            got = [status(await read_message(reader)) for _ in range(answers)]
+            assert set(got) <= {200, 502, 503} and (got[0] == 200 or not b.seen)
+            # Where bytes come in a turn that has been taken already, that is one more step.
+            assert 0 < answered.most <= 2 and events.most <= 2 * frontend.EVENTS_AT_ONCE
+            events.stop()
+            answered.stop()
+            writer.close()
+
+    run(test)
+
+
+def counted(monkeypatch: pytest.MonkeyPatch, of: object, name: str, turns: Turns) -> None:
+    function: Callable[..., object] = getattr(of, name)
+
+    def called(*args: object, **named: object) -> object:
+        turns.count()
+        return function(*args, **named)
+
+    monkeypatch.setattr(of, name, called)
