Keep a crowd of connections within the descriptors that are set aside for it

Cause: 16 connections were accepted in each turn of the event loop, whatever there was room for (ACCEPT_AT_ONCE in Frontend._accept). One takes two turns from its accept to its place (connection_made), and the one that is closed for it another. With all places taken a crowd of 400 held 48 descriptors over the limit for callers, 56 where all of them had requests; SPARE_SOCKETS sets 32 aside, for the watch, the listener and all else too. With the pool at its limit the watch or an attempt would then have found none.

Change: descriptors are counted from the accept to the close, and no more are accepted in a turn than there is room for, one at least.

A client that comes after the crowd is served.

Ruled out: the end, where all that the listener has is still taken in at once.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -64,6 +64,7 @@
         self.leaving = False  # no longer ready
         self.closing = False  # connections are closed as they fall idle
         self._admitting: set[asyncio.Task[None]] = set()
+        self.held = 0  # descriptors of connections, from the accept to the close
         self._listener: socket.socket
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -75,7 +76,7 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
         self._listener.setblocking(False)
-        self.loop.add_reader(self._listener, self._accept)
+        self.loop.add_reader(self._listener, self._accept_some)
         host, port = self._listener.getsockname()[:2]
         return host, port
 
@@ -87,10 +88,16 @@
         self._accept(BACKLOG)
         self._listener.close()
 
-    def _accept(self, most: int = ACCEPT_AT_ONCE) -> None:
+    def _accept_some(self) -> None:
+        # Guards the descriptors of all others: a connection takes some turns of the event loop from its
+        # accept to its place, and so does the close of the one that makes room for it.
+        self._accept(min(ACCEPT_AT_ONCE, max(1, self.most + SURPLUS_MOST - self.held)))
+
+    def _accept(self, most: int) -> None:
         try:
             for _ in range(most):
                 accepted, _ = self._listener.accept()
+                self.held += 1
                 # asyncio sets this only where it made the socket itself, as it does for backends.
                 accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 task = self.loop.create_task(self._admit(accepted))
@@ -108,7 +115,7 @@
 
     def _accept_again(self) -> None:
         if self._listener.fileno() >= 0:
-            self.loop.add_reader(self._listener, self._accept)
+            self.loop.add_reader(self._listener, self._accept_some)
 
     async def _admit(self, accepted: socket.socket) -> None:
         try:
@@ -116,6 +123,7 @@
         except OSError as error:
             log.warning("a connection was lost as it came: %s", error)
             accepted.close()
+            self.held -= 1
 
     def crowded_by(self, newcomer: CallerConnection) -> bool:
         """Takes a connection in. Is it one too many, though another made room where one could?"""
@@ -245,6 +253,7 @@
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._front.held -= 1  # the transport closes its socket right after this
         self._front.left(self)
         self._forget_ahead()
         if self._waiting:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Coroutine
 
 import pytest
 
+from snowvalve.__main__ import SPARE_SOCKETS
 from snowvalve.net import frontend
 from tests.net_helpers import answer, backend, call, entry, proxy, read_message, run, until
-from tests.test_clients_gone import Client
+from tests.test_clients_gone import Client, settled, silent
 from tests.test_frontend import status
 from tests.test_last_answers import streams
 
@@ -83,3 +85,48 @@
         return function(*args, **named)
 
     monkeypatch.setattr(of, name, called)
+
+
+KINDS = {"silent": b"", "half": b"GET /api HTTP/1.1\r\nHost", "asked": call(path="/ready")}
+FIXED = (
+    8  # descriptors for standard streams, the event loop and its wake-up, the listener, and one for a file
+)
+WATCHES = 2  # one that stands or comes up, and one that is just being closed
+
+
+@pytest.mark.parametrize("kind", [*KINDS, "open"])
+def test_a_crowd_takes_no_more_descriptors_than_are_kept_for_it(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also on the way from the accept to a place, and from a close to its end. A client then gets in."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=64) as p:
+            accepted: list[socket.socket] = []
+            admit = p.frontend._admit
+
+            def listen(connection: socket.socket) -> Coroutine[None, None, None]:
+                accepted.append(connection)
+                return admit(connection)
+
+            monkeypatch.setattr(p.frontend, "_admit", listen)
+            clients = [Client(p) for _ in range(400)]
+            for n, client in enumerate(clients):
+                client.send(KINDS[kind] if kind != "open" else call(id=f"r{n}"))
+            most = 0
+            while len(accepted) < 400:
+                await asyncio.sleep(0)
+                most = max(most, sum(a.fileno() >= 0 for a in accepted))
+            assert most - 64 <= SPARE_SOCKETS - FIXED - WATCHES
+            await settled()
+            assert p.frontend.held == len(p.frontend.open) == sum(a.fileno() >= 0 for a in accepted)
+            if kind != "open":
+                ready, _, _ = await p.ask(call(path="/ready"))
+                assert ready.split()[1] == "200"
+            for client in clients:
+                client.leave("RST")
+            await until(lambda: not p.frontend.open)
+            await settled()
+            assert p.frontend.held == 0
+
+    run(test)
