Log a lack of descriptors once as it begins and once when it is over

Cause: while the system gives no descriptor the listener is tried every 0.05 s, and each try wrote a line (Frontend._accept); so did each connection that was lost as it came (Frontend._admit). Idle clients that hold all descriptors thus filled the log for as long as they liked, 20 lines a second.

Change: a line as such a trouble begins, and one with its count when it has not come again for 1 s.

Result: 30 tries in a row without a descriptor (the limit of the process lowered under it) are one line, the end is one more, and a second time is told again; 100 connections that are lost as they come are one line. With a line for each, as before, both tests fail. Who waited for a descriptor is served.

Ruled out: any other line of the callers' side that peers can cause; there is none.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -40,9 +40,30 @@
 # How often those that are not read are asked whether their client is still there: no attempt may begin for it
 # more than 0.1 s after it has left, and the event loop may be late.
 PAUSED_S = 0.03
+SPELL_S = 1.0  # a trouble that has not come again for this long is over
 BUSY = Answer(503, headers=((b"retry-after", b"1"),))  # to a connection that we have no descriptors for
 
 
+class Spell:
+    """A trouble that any peer may cause, as often as it likes: a line as it begins, and one at its end."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._count, self._last_at = 0, 0.0
+
+    def comes(self, now: float, error: Exception) -> None:
+        if self._count == 0:
+            log.error("%s: %s", self._text, error)
+        self._count += 1
+        self._last_at = now
+
+    def check(self, now: float) -> None:
+        """Is it over? To be called now and then."""
+        if self._count and now - self._last_at > SPELL_S:
+            log.info("%s: over, %d times in all", self._text, self._count)
+            self._count = 0
+
+
 class Frontend:
     """All connections of callers."""
 
@@ -65,6 +86,8 @@
         self.closing = False  # connections are closed as they fall idle
         self._admitting: set[asyncio.Task[None]] = set()
         self.held = 0  # descriptors of connections, from the accept to the close
+        self._no_descriptor = Spell("no descriptor for a connection")
+        self._lost = Spell("a connection was lost as it came")
         self._listener: socket.socket
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -107,7 +130,7 @@
             pass
         except OSError as error:
             if error.errno in NO_DESCRIPTOR:
-                log.error("no descriptor for a connection: %s", error)
+                self._no_descriptor.comes(self.loop.time(), error)
                 self.loop.remove_reader(self._listener)
                 self.loop.call_later(ACCEPT_AGAIN_S, self._accept_again)
             elif error.errno not in (errno.ECONNABORTED, errno.EPERM):  # these concern that one caller only
@@ -121,7 +144,7 @@
         try:
             await self.loop.connect_accepted_socket(lambda: CallerConnection(self), accepted)
         except OSError as error:
-            log.warning("a connection was lost as it came: %s", error)
+            self._lost.comes(self.loop.time(), error)
             accepted.close()
             self.held -= 1
 
@@ -188,6 +211,8 @@
     def _sweep(self) -> None:
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
         now = self.loop.time()
+        for spell in (self._no_descriptor, self._lost):
+            spell.check(now)
         for connection in list(self.open):
             connection.check(now)
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import logging
+import resource
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 
 import pytest
 
 from snowvalve.__main__ import SPARE_SOCKETS
 from snowvalve.net import frontend
-from tests.net_helpers import answer, backend, call, entry, proxy, read_message, run, until
+from tests.net_helpers import SteppedClock, answer, backend, call, entry, proxy, read_message, run, until
 from tests.test_clients_gone import Client, settled, silent
 from tests.test_frontend import status
 from tests.test_last_answers import streams
@@ -20,7 +24,7 @@
     """The most that is done of something in one turn of the event loop."""
 
     def __init__(self) -> None:
-        self.most = self._now = 0
+        self.all = self.most = self._now = 0
         self._loop = asyncio.get_running_loop()
         self._turn()
 
@@ -29,6 +33,7 @@
         self._handle = self._loop.call_soon(self._turn)
 
     def count(self) -> None:
+        self.all += 1
         self._now += 1
         self.most = max(self.most, self._now)
 
@@ -130,3 +135,76 @@
             assert p.frontend.held == 0
 
     run(test)
+
+
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """The system gives this process none for as long as this lasts."""
+    with socket.socket() as free:
+        lowest = free.fileno()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_a_lack_of_descriptors_is_logged_as_it_begins_and_when_it_is_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """It is met again every 0.05 s while it lasts, and who waits for one is served afterwards."""
+    caplog.set_level(logging.INFO, logger="snowvalve.net.frontend")
+
+    def lines() -> list[str]:
+        return [r.getMessage() for r in caplog.records if r.name == "snowvalve.net.frontend"]
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+            clock = SteppedClock()
+            for _ in range(2):  # a second spell is told of again
+                caplog.clear()
+                met, client = Turns(), Client(p)
+                with pytest.MonkeyPatch.context() as patch, no_descriptors():
+                    counted(patch, p.frontend._no_descriptor, "comes", met)
+                    for n in range(30):
+                        await until(lambda n=n, met=met: met.all > n)  # type: ignore[misc]
+                        clock.step(frontend.ACCEPT_AGAIN_S)
+                met.stop()
+                assert lines() == ["no descriptor for a connection: [Errno 24] Too many open files"]
+                client.send(call(path="/ready"))
+                reader, writer = await streams(client)
+                assert status(await read_message(reader)) == 200
+                clock.step(frontend.SPELL_S + frontend.SWEEP_S)
+                await until(lambda: len(lines()) > 1)
+                assert lines()[1:] == [f"no descriptor for a connection: over, {met.all} times in all"]
+                writer.close()
+                clock.step(frontend.SPELL_S + frontend.SWEEP_S)
+                await settled()
+                assert len(lines()) == 2
+
+    run(test)
+
+
+def test_connections_that_are_lost_as_they_come_are_logged_once(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+
+            async def fails(*args: object) -> None:
+                raise ConnectionAbortedError("gone")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(p.frontend.loop, "connect_accepted_socket", fails)
+                clients = [Client(p) for _ in range(100)]
+                for client in clients:
+                    client.socket.setblocking(False)
+                    with contextlib.suppress(ConnectionError):
+                        assert await p.frontend.loop.sock_recv(client.socket, 1) == b""
+                    client.socket.close()
+            assert caplog.text.count("lost as it came") == 1
+            assert p.frontend.held == 0
+            assert status(await p.ask(call())) == 200
+
+    run(test)
