Turn away requests of another major version of HTTP

Cause: h11 reads any two digits as a version, and heads.check_framing looked at the version only beside a Transfer-Encoding. A request line that ends in HTTP/3.0 or HTTP/9.9 was served as if it were HTTP/1.1.

Change: 505 for whatever is not HTTP/1.

Result: the case `HTTP/3.0` of the peers without a proper request, in one piece and byte by byte, was answered 200 and sent on before (seen to fail); now it gets an error and an end.

Ruled out: HTTP/2 by prior knowledge; its preface was turned away before, for its method.

--- a/snowvalve/net/heads.py
+++ b/snowvalve/net/heads.py
@@ -47,6 +47,8 @@
         if name in fields and (name in ONCE or name.startswith(b"req-")):
             raise BadRequest(400, f"{name.decode()} stands twice")
         fields[name] = value
+    if not head.http_version.startswith(b"1."):
+        raise BadRequest(505, "not HTTP/1")
     if head.method not in METHODS.values():
         raise BadRequest(405, "neither GET nor POST")
     if not head.target.startswith(b"/"):
--- a/tests/test_bad_callers.py
+++ b/tests/test_bad_callers.py
@@ -37,6 +37,7 @@
     "TLS": HELLO,
     "HTTP/2": b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\x00\x00\x00\x04\x00\x00\x00\x00\x00",
     "HTTP/0.9": b"GET /api\r\n\r\n",
+    "HTTP/3.0": call().replace(b"HTTP/1.1", b"HTTP/3.0"),
     "a method of its own": call().replace(b"GET", b"BREW"),
     "a lower-case method": call().replace(b"GET", b"get"),
     "an absolute target": call(path="http://x/api"),
