Hold that nothing begins for a client that has left, wherever its request waits

The test of connections that are not read now also runs with ones that are, where the end must be known at once: held by the module, with a connection to a backend coming up, and with an attempt out that fails afterwards; closed, half closed and reset; with cancels allowed and not. And a request behind an answer that its client does not read goes nowhere once that client has left, be the connection read on or not.

Seen to fail: without the withdrawal in Driver.gone the 6 cases with a connection coming up and no cancels; without the call of it in CallerConnection.connection_lost all 36; behind an answer, with `present` always true and the check of is_closing taken out of _proceed, the 2 half closed ones (in the others the system itself ends the connection first).

--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -27,6 +27,7 @@
     run,
     until,
 )
+from tests.test_frontend import narrow
 
 WAYS = ["FIN", "half", "RST"]
 FAILURE = answer(503, Srv_Declined="1")
@@ -35,8 +36,11 @@
 class Client:
     """A client whose bytes and whose end are with the system at once, before the loop turns."""
 
-    def __init__(self, p: Proxy) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", p.port))
+    def __init__(self, p: Proxy, takes: int | None = None) -> None:
+        self.socket = socket.socket()
+        if takes is not None:  # bytes at once
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, takes)
+        self.socket.connect(("127.0.0.1", p.port))
 
     def send(self, sent: bytes) -> None:
         self.socket.sendall(sent)
@@ -164,25 +168,29 @@
 WHERE = ["held", "connecting", "out"]
 
 
-async def pause(p: Proxy, client: Client, id: str = "r0") -> frontend.CallerConnection:
-    """The client's request, and so much behind it that the proxy ceases to read."""
+async def begin(p: Proxy, client: Client, paused: bool) -> frontend.CallerConnection:
+    """The client's request, and where it pauses so much behind it that the proxy ceases to read."""
     before = set(p.frontend.open)
     client.socket.setblocking(False)
-    sent = call(id=id) + call("mark", id="behind", body=b"x" * 60_000)
+    sent = call(id="r0") + (call("mark", id="behind", body=b"x" * 60_000) if paused else b"")
     await asyncio.get_running_loop().sock_sendall(client.socket, sent)
     await until(lambda: len(p.frontend.open - before) == 1)
     [connection] = p.frontend.open - before
-    await until(lambda: not connection.transport.is_reading())
+    await until(lambda: connection._key is not None and connection.transport.is_reading() is not paused)
     return connection
 
 
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("where", WHERE)
 @pytest.mark.parametrize("cancel", [True, False])
-def test_one_that_is_not_read_is_known_to_have_left_well_before_an_attempt_may_begin_no_more(
-    way: str, where: str, cancel: bool, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("paused", [True, False])
+def test_one_that_has_left_is_known_to_have_well_before_an_attempt_may_begin_no_more(
+    way: str, where: str, cancel: bool, paused: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """With half of the time kept for an event loop that is late; the sweep, which is slower, is stopped."""
+    """At once, or where it is not read with half of the time kept for an event loop that is late.
+
+    The sweep, which is slower, is stopped.
+    """
     monkeypatch.setattr(frontend, "AHEAD_MOST", 10_000)
 
     async def test() -> None:
@@ -200,7 +208,7 @@
                 crowd.pop().leave("FIN")
                 await until(lambda: not p.driver._balancer.held)
             client = Client(p)
-            connection = await pause(p, client)
+            connection = await begin(p, client, paused)
             if where == "connecting":
                 await until(lambda: gate.waiting == 1)
             elif where == "out":
@@ -211,9 +219,10 @@
             assert key is not None
             client.leave(way)
             await settled()
-            assert connection in p.frontend.open  # the event loop does not see it
-            clock.step(LATEST_S / 2)
-            await settled()
+            if paused:  # the event loop does not see it
+                assert connection in p.frontend.open
+                clock.step(LATEST_S / 2)
+                await settled()
             assert connection not in p.frontend.open and key not in p.driver._callers
             gate.opened.set()
             for (request, _), attempt in list(p.driver._attempts.items()):
@@ -252,7 +261,7 @@
                 await settled()
             assert not asked and p.frontend._looker is None
             client = Client(p)
-            connection = await pause(p, client)
+            connection = await begin(p, client, True)
             for _ in range(10):
                 clock.step(0.05)
                 await settled()
@@ -267,3 +276,37 @@
             assert p.frontend._looker is None
 
     run(test)
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("paused", [True, False])
+def test_what_waits_behind_an_answer_that_is_not_read_goes_nowhere_once_its_client_has_left(
+    way: str, paused: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+    if paused:
+        monkeypatch.setattr(frontend, "AHEAD_MOST", 10_000)
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            narrow(p)
+            client = Client(p, 4096)
+            connection = await begin(p, client, paused)
+            await until(lambda: len(b.seen) == 1)
+            if not paused:
+                client.send(call(id="behind"))
+                await until(lambda: connection._ahead_size > 0)
+            out(p).data_received(answer(200, b"x" * 65_536))
+            assert connection.writes and connection._unread
+            client.leave(way)
+            await settled()
+            if way == "half":  # it may still read, and what goes on then is the answer alone
+                client.socket.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=client.socket)
+                assert len((await read_message(reader))[2]) == 65_536
+                writer.close()
+            await until(lambda: connection not in p.frontend.open)
+            await settled()
+            assert len(b.seen) == 1 and nothing_left(p)
+
+    run(test)
