Read little at once from each caller, so that the limit on what comes ahead holds

Cause: asyncio reads up to 256 KiB for a protocol (its max_size) and only then hands it over, and CallerConnection pauses reading after that. With AHEAD_ALL at 4 MiB each connection with an open request could still add 256 KiB: 150 callers that had sent ahead held 23.1 MB, and a proxy may have 32 MB in all.

Change: callers' connections are read through a buffer of ours (BufferedProtocol) of 16 KiB, one for all.

The test has 40 callers whose bytes are all with the system before any is read, and a limit of 100 kB: one read of 16 KiB each goes over it at the most. With reads of 256 KiB it fails (4.1 MB).

Ruled out: cost; a request is read in one go as before, and one of full size in five.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 HEAD_MOST = 16 * 1024  # bytes of a request's line and headers
-PIECE = 16 * 1024  # bytes that are looked at at once
+PIECE = 16 * 1024  # bytes that are read at once: each connection may bring as much over the limits below
 # Bytes taken in while an answer is still to come, from one caller and from all. Far more than the request of
 # full size that a proper one may send: behind bytes that are not read, its leaving could not be seen.
 AHEAD_MOST = 1024 * 1024
@@ -82,6 +82,7 @@
         self.paused: set[CallerConnection] = set()
         self._looker: asyncio.TimerHandle | None = None  # runs while there are any
         self.ahead = 0  # bytes that came ahead of their turn, from all callers
+        self.buffer = memoryview(bytearray(PIECE))  # of whatever is just being read
         self.leaving = False  # no longer ready
         self.closing = False  # connections are closed as they fall idle
         self._admitting: set[asyncio.Task[None]] = set()
@@ -217,7 +218,7 @@
             connection.check(now)
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; one request at a time."""
 
     transport: asyncio.Transport
@@ -286,17 +287,19 @@
             if self._key is not None:
                 self._front.driver.gone(self._key)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._front.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._lingering or self.transport.is_closing():
             return
         now = self._front.loop.time()
         if not self._fresh and self.idle:
             self._since = now
             self._front.stands(self, None)
-        for at in range(0, len(data), PIECE):
-            self._ahead.append((now, data[at : at + PIECE]))
-        self._ahead_size += len(data)
-        self._front.ahead += len(data)
+        self._ahead.append((now, bytes(self._front.buffer[:nbytes])))
+        self._ahead_size += nbytes
+        self._front.ahead += nbytes
         if not self._turn_due:
             self._proceed()
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -208,3 +208,28 @@
             assert status(await p.ask(call())) == 200
 
     run(test)
+
+
+def test_what_many_callers_send_ahead_at_once_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whatever the system has of each of them: one read each at the most goes over the limit for all."""
+    monkeypatch.setattr(frontend, "AHEAD_ALL", 100_000)
+    callers = 40
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            clients = [Client(p) for _ in range(callers)]
+            await until(lambda: len(p.frontend.open) == callers)
+            for n, client in enumerate(clients):  # all of it before any is read
+                client.socket.setblocking(False)
+                client.socket.send(call(id=f"r{n}") + call("mark", id=f"s{n}", body=b"x" * 60_000) * 10)
+            connections = list(p.frontend.open)
+            await until(lambda: all(not c.transport.is_reading() for c in connections))
+            assert len(p.driver._callers) == callers  # each with its own request open
+            assert 100_000 < p.frontend.ahead <= 100_000 + callers * frontend.PIECE
+            assert p.frontend.ahead == sum(c._ahead_size for c in connections)
+            for client in clients:
+                client.leave("RST")
+            await until(lambda: not p.frontend.open)
+            assert p.frontend.ahead == 0
+
+    run(test)
