Hold what crosses a close, and one final answer for each of several requests

A request that comes after the last look at a resting connection, as that expires, makes room or is closed at the end, in the same turn of the event loop or later, is never sent on, and the answer before it is not taken along by the reset. Several requests at once, with a close, noise or a bad request in the middle, with a 100 before, and with one id twice, get one final answer each up to the last, whether they come whole or while the first one is open.

--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -170,3 +171,88 @@
             writer.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("how", ["expiry", "end", "room"])
+@pytest.mark.parametrize("later", [False, True])
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(
+    how: str, later: bool
+) -> None:
+    """It comes after the last look at the connection: the client sends it once more on a new one."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            clock, client = SteppedClock(), Client(p)
+            client.send(call(id="first"))
+            await until(lambda: len(b.seen) == 1)
+            out(p).data_received(answer(200, b"first"))
+            await until(lambda: bool(p.frontend.idle))
+            [connection] = p.frontend.open
+            clock.step(1.0)
+            if how == "expiry":
+                connection.check(p.frontend.loop.time() + frontend.IDLE_S + 1.0)
+            elif how == "end":
+                p.frontend.close_idle()
+            else:
+                other = Client(p)
+                await until(lambda: connection.transport.is_closing())
+            assert connection.transport.is_closing()
+            if later:
+                await settled()
+            with contextlib.suppress(ConnectionError):
+                client.send(call(id="crossing"))
+                client.send(call(id="another"))
+            await settled()
+            reader, writer = await streams(client)
+            assert (await read_message(reader))[2] == b"first"  # it was not taken along
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+            writer.close()
+            assert len(b.seen) == 1 and p.driver.idle
+            if how == "room":
+                other.leave("FIN")
+            await until(lambda: not p.frontend.open)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("sent", "statuses", "on"),
+    [
+        ([call(id="a"), call(id="b", Connection="close"), call(id="c")], [200, 200], 2),
+        ([call(id="a"), b"nonsense\r\n\r\n", call(id="c")], [200, 400], 1),
+        ([call(id="a"), call(id="b", Req_Deadline="soon"), call(id="c")], [200, 400], 1),
+        ([call("mark", id="a", body=b"x", Expect="100-continue"), call(id="b")], [100, 200, 200], 2),
+        ([call(id="a"), call(path="/ready"), call(id="a")], [200, 200, 200], 2),
+    ],
+    ids=["a close in the middle", "noise in the middle", "a bad one in the middle", "a 100", "one id again"],
+)
+@pytest.mark.parametrize("whole", [True, False])
+def test_each_of_several_requests_at_once_gets_one_final_answer_up_to_the_last(
+    sent: list[bytes], statuses: list[int], on: int, whole: bool
+) -> None:
+    """Also where the rest comes only while the first one is open."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            client.send(b"".join(sent) if whole else sent[0])
+            for n in range(on):
+                await until(lambda n=n: len(b.seen) == n + 1)  # type: ignore[misc]
+                if n == 0 and not whole:
+                    client.send(b"".join(sent[1:]))
+                out(p).data_received(answer(200, b"%d" % n))
+            reader, writer = await streams(client)
+            got = [await read_message(reader) for _ in statuses]
+            assert [status(g) for g in got] == statuses
+            await settled()
+            if statuses[-1] == 400 or len(statuses) == 2:
+                assert await reader.read() == b""
+            else:
+                writer.write(call(path="/ready", Connection="close"))
+                assert status(await read_message(reader)) == 200 and await reader.read() == b""
+            assert len(b.seen) == on
+            writer.close()
+            await until(lambda: not p.frontend.open)
+
+    run(test)
