Make no room by closing a connection whose request has come and is still taken in

Cause: since requests of many parts are taken in over several turns of the event loop, one may have come whole while its connection still counts as one that has brought nothing (CallerConnection.brings_more asked the system alone, which has nothing more by then). Frontend.crowded_by could close it for a newcomer.

Change: a connection with a turn due brings more.

Result, forced: 2,500 chunks in one read, and a newcomer at a full house in the middle of the 25 turns that they take. The request is served and the newcomer refused; without the change the first one is closed and the test fails.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -262,8 +262,9 @@
 
     @property
     def brings_more(self) -> bool:
-        """Has more of a request come that is still to be read, from a client that is still there?"""
-        return not self._lingering and unread(self.transport) and not hung_up(self.transport)
+        """Has more of a request come that is still to be looked at, from a client that is still there?"""
+        more = not self._lingering and (self._turn_due or unread(self.transport))
+        return more and not hung_up(self.transport)
 
     @property
     def _unread(self) -> bool:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -233,3 +233,26 @@
             assert p.frontend.ahead == 0
 
     run(test)
+
+
+def test_a_request_that_is_taken_in_over_some_turns_makes_no_room_for_others() -> None:
+    """All of it has come by then."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port), most=1) as p:
+            client = Client(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            client.send(chunks(2_500))  # in one read, and in 25 turns
+            await until(lambda: connection._turn_due)
+            other = Client(p)
+            other.send(call(id="other"))
+            await until(lambda: len(p.frontend.open) == 2)
+            assert connection._turn_due and connection in p.frontend.loose
+            for one, expected in ((client, 200), (other, 503)):
+                reader, writer = await streams(one)
+                assert status(await read_message(reader)) == expected
+                writer.close()
+            assert [headers["req-id"] for _, headers, _ in b.seen] == ["chunks"]
+
+    run(test)
