Log what a list says of a backend only where that is new

Cause: Driver._take_addresses wrote a line for each backend of each list. Each new watch may begin with the whole list, and a watch that ends instead of telling is opened again every 0.1 s: with 100 backends that was 2,100 lines in 2 s, for as long as discovery does so.

Change: a line where the backend is new, somewhere else or in another state.

Result: a watch that ends behind each of eight whole lists of 100 backends, where one begins to drain and one moves on the way: 102 lines, 800 without the change (the test fails then).

Ruled out: the lines "watch on discovery broke", ten a second while discovery refuses; they are not part of this.

--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -203,8 +203,13 @@
                 self._drop(number)
         for backend in news.backends:
             uid = news.uids[backend.id]
-            log.info("backend %d is %s, cell %d, %s", backend.id, uid, backend.cell, backend.condition.value)
             address = news.addresses.get(backend.id)
+            known, up = self._endpoints.get(backend.id), backend.condition is i.Condition.UP
+            # Guards the log: a watch that ends over and over brings the whole list each time.
+            if known is None or known.address != address or up != (backend.id in self._up):
+                log.info(
+                    "backend %d is %s, cell %d, %s", backend.id, uid, backend.cell, backend.condition.value
+                )
             if address is None:
                 self._drop(backend.id)
                 continue
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,8 +1,9 @@
-"""Idle clients that fill the descriptors of a proxy of its own process while discovery is down."""
+"""Idle clients that fill the descriptors while discovery is down, and a discovery that repeats itself."""
 
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import signal
 import socket
@@ -14,12 +15,15 @@
 from tests.net_helpers import (
     WATCH_HEAD,
     Peer,
+    SteppedClock,
     answer,
     backend,
     call,
     chunk_list,
     entry,
     listing,
+    peer,
+    proxy,
     read_message,
     run,
 )
@@ -95,3 +99,34 @@
                 assert not any("Traceback" in line or "descriptor" in line for line in lines)
 
     run(test)
+
+
+def test_a_list_that_comes_again_and_again_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Only what it changes is; here the watch ends behind each whole list."""
+    caplog.set_level(logging.INFO, logger="snowvalve.net.driver")
+    many = [entry(f"s{n}", 9) for n in range(100)]
+
+    def lines() -> list[str]:
+        return [r.getMessage() for r in caplog.records if "backend" in r.getMessage()]
+
+    async def test() -> None:
+        lists = 0
+
+        async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal lists
+            await reader.readuntil(b"\r\n\r\n")
+            lists += 1
+            drains = entry("s0", 9, "terminating" if lists > 4 else "in_service")
+            moves = entry("s1", 10 if lists > 4 else 9)
+            writer.write(WATCH_HEAD + chunk_list(listing(drains, moves, *many[2:], rev=lists)))
+
+        async with peer(watch) as d, proxy(discovery=d.port) as p:
+            clock = SteppedClock()
+            while lists < 9:
+                await asyncio.sleep(0)
+                if p.driver._watch._task is None:
+                    clock.step(1.0)
+            assert len(lines()) == 102
+            assert sum("draining" in line for line in lines()) == 1
+
+    run(test)
