Pass over empty lines before a request

Cause: h11 turns away an empty line where a request is due, so CallerConnection answered it with 400 and an end. HTTP/1.1 asks a server to ignore at least one there (RFC 9112, 2.2), and some clients send one behind a body: such a client got a second answer to its request, and its next one met the end of its connection.

Change: line ends before a request are dropped, as they are read on a resting connection and in front of h11 elsewhere. They don't count as the beginning of a request, so a peer that sends nothing else is closed as a silent one.

Result: requests with an empty line before or behind, two in a row in pieces of one, two and seven bytes, and line ends alone on a resting connection or sent ahead, are answered as without.

Ruled out: empty lines without an end as a way to stay; the test of peers that bring no end of a request has them.

--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -41,6 +41,7 @@
 # more than 0.1 s after it has left, and the event loop may be late.
 PAUSED_S = 0.03
 SPELL_S = 1.0  # a trouble that has not come again for this long is over
+EMPTY_LINES = b"\r\n"
 BUSY = Answer(503, headers=((b"retry-after", b"1"),))  # to a connection that we have no descriptors for
 
 
@@ -225,7 +226,7 @@
 
     def __init__(self, frontend: Frontend) -> None:
         self._front = frontend
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        self._http = self._new_http()
         self._ready = False  # the present request asks whether we are ready
         self._head: Head | None = None  # of a request that is still coming or with the driver
         self._body = bytearray()
@@ -240,6 +241,10 @@
         self._ahead_size = 0
         self._turn_due = False  # what has come is gone on with in the event loop's next turn
 
+    @staticmethod
+    def _new_http() -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+
     @property
     def done(self) -> bool:
         """Is it closing, with all that it owed written?"""
@@ -294,13 +299,17 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self._lingering or self.transport.is_closing():
             return
-        now = self._front.loop.time()
-        if not self._fresh and self.idle:
-            self._since = now
-            self._front.stands(self, None)
-        self._ahead.append((now, bytes(self._front.buffer[:nbytes])))
-        self._ahead_size += nbytes
-        self._front.ahead += nbytes
+        now, data = self._front.loop.time(), bytes(self._front.buffer[:nbytes])
+        if self.idle:
+            data = data.lstrip(EMPTY_LINES)
+            if not data:
+                return
+            if not self._fresh:
+                self._since = now
+                self._front.stands(self, None)
+        self._ahead.append((now, data))
+        self._ahead_size += len(data)
+        self._front.ahead += len(data)
         if not self._turn_due:
             self._proceed()
 
@@ -354,6 +363,7 @@
             for _ in range(EVENTS_AT_ONCE):
                 if self._waiting or self._lingering or self.writes:
                     break
+                self._skip_empty_lines()
                 event = self._http.next_event()
                 match event:
                     case h11.Request():
@@ -377,6 +387,8 @@
             self._reject(error.status)
         if self.transport.is_closing():
             return
+        if self.idle and not self._fresh and not self.writes:
+            self._front.stands(self, self._front.idle)  # nothing but empty lines had come ahead
         if self._ahead_size > AHEAD_MOST or (self._ahead and self._front.ahead > AHEAD_ALL):
             self.transport.pause_reading()  # guards memory: clients send one request at a time
         else:
@@ -386,6 +398,13 @@
         else:
             self._front.paused.discard(self)
 
+    def _skip_empty_lines(self) -> None:
+        """Passes over those before a request, as behind the body of one before; h11 knows none there."""
+        if self._http.their_state is h11.IDLE and (rest := self._http.trailing_data[0])[:1] in (b"\r", b"\n"):
+            self._http = self._new_http()
+            if rest := rest.lstrip(EMPTY_LINES):  # none would tell it that the client has ended
+                self._http.receive_data(rest)
+
     def _proceed_soon(self) -> None:
         if not self._turn_due:
             self._turn_due = True
--- a/tests/test_bad_callers.py
+++ b/tests/test_bad_callers.py
@@ -166,6 +166,8 @@
     "no spaces": call("mark", "f1", "/api?a=b", b"hello").replace(b": ", b":"),
     "spaces": call("mark", "f1", "/api?a=b", b"hello").replace(b": ", b": \t "),
     "case": call("mark", "f1", "/api?a=b", b"hello").replace(b"Req-Id", b"rEQ-iD"),
+    "an empty line before": b"\r\n" + call("mark", "f1", "/api?a=b", b"hello"),
+    "an empty line behind": call("mark", "f1", "/api?a=b", b"hello") + b"\r\n",
     "chunks": CHUNKED.replace(b"Req-Id: a1", b"Req-Id: f1").replace(b"/api", b"/api?a=b")
     + b"003;x=y\r\nhel\r\n2;z\r\nlo\r\n0;end\r\nTrailer: t\r\n\r\n",
 }
@@ -195,3 +197,32 @@
             writer.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("ahead", [True, False])
+def test_empty_lines_behind_a_request_are_no_request(ahead: bool) -> None:
+    """They bring no answer, and the connection rests as if they had not come."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            client.send(call() + (b"\r\n\r\n" if ahead else b""))
+            await until(lambda: len(b.seen) == 1)
+            out(p).data_received(answer(200, b"x"))
+            await until(lambda: bool(p.frontend.idle))
+            [connection] = p.frontend.idle
+            since = connection._since
+            if not ahead:
+                for empty in (b"\r\n", b"\r", b"\n\r\n"):
+                    client.send(empty)
+                    await settled()
+            assert connection.idle and connection in p.frontend.idle and connection._since == since
+            assert p.frontend.ahead == 0
+            client.send(b"\r\n" + call(path="/ready", Connection="close"))
+            reader, writer = await streams(client)
+            assert [status(await read_message(reader)) for _ in range(2)] == [200, 200]
+            assert await reader.read() == b""
+            writer.close()
+            await until(lambda: not p.frontend.open)
+
+    run(test)
