--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -50,6 +50,7 @@
     headers: list[tuple[bytes, bytes]]  # those that go on to the backend
     body: bytes
     answer: Callable[[Answer], None]
+    present: Callable[[], bool]  # is the client still there, by what the system knows at this moment?
     sends: int = field(default=0, init=False)
     overdue: asyncio.TimerHandle | None = field(default=None, init=False)
 
@@ -204,8 +205,13 @@
                 self._drop(number)
         for backend in news.backends:
             uid = news.uids[backend.id]
-            log.info("backend %d is %s, cell %d, %s", backend.id, uid, backend.cell, backend.condition.value)
             address = news.addresses.get(backend.id)
+            known, up = self._endpoints.get(backend.id), backend.condition is i.Condition.UP
+            # Guards the log: a watch that ends over and over brings the whole list each time.
+            if known is None or known.address != address or up != (backend.id in self._up):
+                log.info(
+                    "backend %d is %s, cell %d, %s", backend.id, uid, backend.cell, backend.condition.value
+                )
             if address is None:
                 self._drop(backend.id)
                 continue
@@ -270,6 +276,10 @@
             return
         number = caller.sends
         caller.sends += 1
+        if not caller.present():  # guards against work for nobody: its end may not have been read yet
+            self.gone(send.request)
+            self._ended(send, number, sent_at, i.Outcome.NOT_SENT, None)
+            return
 
         def done(outcome: i.Outcome, reply: Reply | None) -> None:
             self._ended(send, number, sent_at, outcome, reply)
--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -20,11 +20,12 @@
 log = logging.getLogger(__name__)
 
 HEAD_MOST = 16 * 1024  # bytes of a request's line and headers
-PIECE = 16 * 1024  # bytes that are looked at at once
+PIECE = 16 * 1024  # bytes that are read at once: each connection may bring as much over the limits below
 # Bytes taken in while an answer is still to come, from one caller and from all. Far more than the request of
 # full size that a proper one may send: behind bytes that are not read, its leaving could not be seen.
 AHEAD_MOST = 1024 * 1024
 AHEAD_ALL = 4 * 1024 * 1024
+EVENTS_AT_ONCE = 100  # parts of requests (a head, a chunk, an end) that one caller's turn takes in
 WHOLE_S = 2.2  # a request must have come whole this long after the connect, or after its own first byte
 FIRST_S = 0.2  # after its connect a client has sent its first request
 COMING_S = 0.4  # and this much later where more of it has just come
@@ -36,9 +37,34 @@
 ACCEPT_AGAIN_S = 0.05  # wait where there is no descriptor for a connection
 SURPLUS_MOST = 8  # connections over the limit that are told so; any more are just closed
 SWEEP_S = 0.2  # how often connections are checked for these limits
+# How often those that are not read are asked whether their client is still there: no attempt may begin for it
+# more than 0.1 s after it has left, and the event loop may be late.
+PAUSED_S = 0.03
+SPELL_S = 1.0  # a trouble that has not come again for this long is over
+EMPTY_LINES = b"\r\n"
 BUSY = Answer(503, headers=((b"retry-after", b"1"),))  # to a connection that we have no descriptors for
 
 
+class Spell:
+    """A trouble that any peer may cause, as often as it likes: a line as it begins, and one at its end."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._count, self._last_at = 0, 0.0
+
+    def comes(self, now: float, error: Exception) -> None:
+        if self._count == 0:
+            log.error("%s: %s", self._text, error)
+        self._count += 1
+        self._last_at = now
+
+    def check(self, now: float) -> None:
+        """Is it over? To be called now and then."""
+        if self._count and now - self._last_at > SPELL_S:
+            log.info("%s: over, %d times in all", self._text, self._count)
+            self._count = 0
+
+
 class Frontend:
     """All connections of callers."""
 
@@ -53,10 +79,17 @@
         self.loose: dict[CallerConnection, None] = {}
         self.idle: dict[CallerConnection, None] = {}
         self.ids: set[bytes] = set()  # of the requests that are open
+        # Those with a request open that are not read, so that the event loop does not see them end.
+        self.paused: set[CallerConnection] = set()
+        self._looker: asyncio.TimerHandle | None = None  # runs while there are any
         self.ahead = 0  # bytes that came ahead of their turn, from all callers
+        self.buffer = memoryview(bytearray(PIECE))  # of whatever is just being read
         self.leaving = False  # no longer ready
         self.closing = False  # connections are closed as they fall idle
         self._admitting: set[asyncio.Task[None]] = set()
+        self.held = 0  # descriptors of connections, from the accept to the close
+        self._no_descriptor = Spell("no descriptor for a connection")
+        self._lost = Spell("a connection was lost as it came")
         self._listener: socket.socket
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -68,7 +101,7 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
         self._listener.setblocking(False)
-        self.loop.add_reader(self._listener, self._accept)
+        self.loop.add_reader(self._listener, self._accept_some)
         host, port = self._listener.getsockname()[:2]
         return host, port
 
@@ -80,12 +113,16 @@
         self._accept(BACKLOG)
         self._listener.close()
 
-    def _accept(self, most: int = ACCEPT_AT_ONCE) -> None:
+    def _accept_some(self) -> None:
+        # Guards the descriptors of all others: a connection takes some turns of the event loop from its
+        # accept to its place, and so does the close of the one that makes room for it.
+        self._accept(min(ACCEPT_AT_ONCE, max(1, self.most + SURPLUS_MOST - self.held)))
+
+    def _accept(self, most: int) -> None:
         try:
             for _ in range(most):
                 accepted, _ = self._listener.accept()
-                # asyncio sets this only where it made the socket itself, as it does for backends.
-                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.held += 1
                 task = self.loop.create_task(self._admit(accepted))
                 self._admitting.add(task)
                 task.add_done_callback(self._admitting.discard)
@@ -93,7 +130,7 @@
             pass
         except OSError as error:
             if error.errno in NO_DESCRIPTOR:
-                log.error("no descriptor for a connection: %s", error)
+                self._no_descriptor.comes(self.loop.time(), error)
                 self.loop.remove_reader(self._listener)
                 self.loop.call_later(ACCEPT_AGAIN_S, self._accept_again)
             elif error.errno not in (errno.ECONNABORTED, errno.EPERM):  # these concern that one caller only
@@ -101,14 +138,17 @@
 
     def _accept_again(self) -> None:
         if self._listener.fileno() >= 0:
-            self.loop.add_reader(self._listener, self._accept)
+            self.loop.add_reader(self._listener, self._accept_some)
 
     async def _admit(self, accepted: socket.socket) -> None:
         try:
+            # asyncio sets this only where it made the socket itself, as it does for backends.
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.connect_accepted_socket(lambda: CallerConnection(self), accepted)
         except OSError as error:
-            log.warning("a connection was lost as it came: %s", error)
+            self._lost.comes(self.loop.time(), error)
             accepted.close()
+            self.held -= 1
 
     def crowded_by(self, newcomer: CallerConnection) -> bool:
         """Takes a connection in. Is it one too many, though another made room where one could?"""
@@ -117,7 +157,7 @@
             # the room; below that, one that has just come is left the time to bring its request.
             flood = 2 * len(self.loose) >= self.most
             those = chain(self.loose, self.idle) if flood else chain(self.idle, self.loose)
-            spare = next((c for c in those if not c.brings_more), None)
+            spare = next((c for c in those if not (c.brings_more or c.writes)), None)
             if spare is not None:
                 self.left(spare)
                 spare.transport.abort()
@@ -134,6 +174,7 @@
 
     def left(self, connection: CallerConnection) -> None:
         self.open.discard(connection)
+        self.paused.discard(connection)
         self.stands(connection, None)
 
     def close_idle(self) -> None:
@@ -154,22 +195,38 @@
 
     def close(self) -> None:
         self._sweeper.cancel()
+        if self._looker is not None:
+            self._looker.cancel()
+
+    def pauses(self, connection: CallerConnection) -> None:
+        """Its request is open and it is not read: it is asked soon, and again, whether its client left."""
+        self.paused.add(connection)
+        if self._looker is None:
+            self._looker = self.loop.call_later(PAUSED_S, self._look)
+
+    def _look(self) -> None:
+        self._looker = None
+        for connection in list(self.paused):
+            if connection.present():
+                self.pauses(connection)
 
     def _sweep(self) -> None:
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
         now = self.loop.time()
+        for spell in (self._no_descriptor, self._lost):
+            spell.check(now)
         for connection in list(self.open):
             connection.check(now)
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; one request at a time."""
 
     transport: asyncio.Transport
 
     def __init__(self, frontend: Frontend) -> None:
         self._front = frontend
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        self._http = self._new_http()
         self._ready = False  # the present request asks whether we are ready
         self._head: Head | None = None  # of a request that is still coming or with the driver
         self._body = bytearray()
@@ -182,12 +239,17 @@
         self._came = self._since  # when the bytes came that h11 has had
         self._ahead: deque[tuple[float, bytes]] = deque()  # those behind them, and when they came
         self._ahead_size = 0
+        self._turn_due = False  # what has come is gone on with in the event loop's next turn
+
+    @staticmethod
+    def _new_http() -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
 
     @property
     def done(self) -> bool:
         """Is it closing, with all that it owed written?"""
         closing = self._lingering or self.transport.is_closing()
-        return closing and not self.transport.get_write_buffer_size()
+        return closing and not self.writes
 
     def just_came(self, now: float) -> bool:
         """May its first request be on its way?"""
@@ -198,10 +260,16 @@
         """Is nothing of a request here?"""
         return not self._lingering and self._http.their_state is h11.IDLE and not self._unread
 
+    @property
+    def writes(self) -> bool:
+        """Is an answer here that the system has not taken yet?"""
+        return self.transport.get_write_buffer_size() > 0
+
     @property
     def brings_more(self) -> bool:
-        """Has more of a request come that is still to be read, from a client that is still there?"""
-        return not self._lingering and unread(self.transport) and not hung_up(self.transport)
+        """Has more of a request come that is still to be looked at, from a client that is still there?"""
+        more = not self._lingering and (self._turn_due or unread(self.transport))
+        return more and not hung_up(self.transport)
 
     @property
     def _unread(self) -> bool:
@@ -217,6 +285,7 @@
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._front.held -= 1  # the transport closes its socket right after this
         self._front.left(self)
         self._forget_ahead()
         if self._waiting:
@@ -224,18 +293,25 @@
             if self._key is not None:
                 self._front.driver.gone(self._key)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._front.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._lingering or self.transport.is_closing():
             return
-        now = self._front.loop.time()
-        if not self._fresh and self.idle:
-            self._since = now
-            self._front.stands(self, None)
-        for at in range(0, len(data), PIECE):
-            self._ahead.append((now, data[at : at + PIECE]))
+        now, data = self._front.loop.time(), bytes(self._front.buffer[:nbytes])
+        if self.idle:
+            data = data.lstrip(EMPTY_LINES)
+            if not data:
+                return
+            if not self._fresh:
+                self._since = now
+                self._front.stands(self, None)
+        self._ahead.append((now, data))
         self._ahead_size += len(data)
         self._front.ahead += len(data)
-        self._proceed()
+        if not self._turn_due:
+            self._proceed()
 
     def _take_ahead(self) -> bool:
         """Hands h11 the next piece, where there is one."""
@@ -253,19 +329,19 @@
         self._ahead.clear()
 
     def resume_writing(self) -> None:
+        if self._lingering:
+            self._since = self._front.loop.time()
         self._proceed()
 
     def check(self, now: float) -> None:
         """Closes a connection that has stood still for too long."""
         still = now - self._since
         if self._waiting:
-            if not self.transport.is_reading() and hung_up(self.transport):
-                self.transport.abort()
             return
-        if self._lingering:
-            most = LINGER_S
-        elif self.transport.get_write_buffer_size():
+        if self.writes:
             most = UNREAD_S
+        elif self._lingering:
+            most = LINGER_S
         elif self.idle and not self._fresh:
             most = IDLE_S
         else:
@@ -275,12 +351,19 @@
         self.transport.abort()
 
     def _proceed(self) -> None:
-        """Takes in what has come, up to the end of a request."""
+        """Takes in what has come, up to the end of a request.
+
+        One request at the most in one turn of the event loop: a caller may send thousands of requests or
+        chunks at once, and all others would wait for them.
+        """
         if self.transport.is_closing():  # the client has left: what it sent ahead goes nowhere
             return
         try:
             # An answer that is not read holds the next request back: guards memory.
-            while not (self._waiting or self._lingering or self.transport.get_write_buffer_size()):
+            for _ in range(EVENTS_AT_ONCE):
+                if self._waiting or self._lingering or self.writes:
+                    break
+                self._skip_empty_lines()
                 event = self._http.next_event()
                 match event:
                     case h11.Request():
@@ -291,20 +374,45 @@
                             raise BadRequest(413, "too long")
                     case h11.EndOfMessage():
                         self._whole()
+                        break
                     case h11.NEED_DATA if self._take_ahead():
                         pass
                     case _:
                         break
+            else:
+                self._proceed_soon()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
         except BadRequest as error:
             self._reject(error.status)
         if self.transport.is_closing():
             return
+        if self.idle and not self._fresh and not self.writes:
+            self._front.stands(self, self._front.idle)  # nothing but empty lines had come ahead
         if self._ahead_size > AHEAD_MOST or (self._ahead and self._front.ahead > AHEAD_ALL):
             self.transport.pause_reading()  # guards memory: clients send one request at a time
         else:
             self.transport.resume_reading()
+        if self._waiting and not self.transport.is_reading():
+            self._front.pauses(self)
+        else:
+            self._front.paused.discard(self)
+
+    def _skip_empty_lines(self) -> None:
+        """Passes over those before a request, as behind the body of one before; h11 knows none there."""
+        if self._http.their_state is h11.IDLE and (rest := self._http.trailing_data[0])[:1] in (b"\r", b"\n"):
+            self._http = self._new_http()
+            if rest := rest.lstrip(EMPTY_LINES):  # none would tell it that the client has ended
+                self._http.receive_data(rest)
+
+    def _proceed_soon(self) -> None:
+        if not self._turn_due:
+            self._turn_due = True
+            self._front.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._turn_due = False
+        self._proceed()
 
     def _begin(self, event: h11.Request) -> None:
         """A request's head has come."""
@@ -334,9 +442,6 @@
             raise BadRequest(409, "the id of an open request")
         if self._body or head.method != b"GET":
             head.headers.append((b"content-length", b"%d" % len(self._body)))
-        if hung_up(self.transport):
-            self.transport.abort()
-            return
         caller = Caller(
             class_name=head.class_name,
             # Its time counts from when its last byte came, however long it waited behind another.
@@ -348,18 +453,28 @@
             headers=head.headers,
             body=bytes(self._body),
             answer=self._answer,
+            present=self.present,
         )
+        if not self.present():
+            return
         self._front.ids.add(head.id)
         self._waiting = True
         key = self._front.driver.request(caller)
         if self._waiting:
             self._key = key
 
+    def present(self) -> bool:
+        """Is the client still there, by what the system knows now? Ends the connection of one that is not."""
+        if not self.transport.is_closing() and hung_up(self.transport):
+            self.transport.abort()
+        return not self.transport.is_closing()
+
     def _over(self) -> None:
         """The present request is no longer open."""
         if self._waiting and self._head is not None:
             self._front.ids.discard(self._head.id)
         self._waiting, self._head = False, None
+        self._front.paused.discard(self)
 
     def _answer(self, answer: Answer, last: bool = False) -> None:
         """Writes the one final answer."""
@@ -368,7 +483,8 @@
         self._body.clear()
         if self.transport.is_closing():
             return
-        last = last or self._front.closing or self._surplus
+        if self._front.closing or self._surplus:  # what has come behind this one is owed its answer too
+            last = last or not (self._unread or self.brings_more)
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if last:
             headers.append((b"connection", b"close"))
@@ -382,7 +498,7 @@
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             if self._unread:  # the next request came early
-                self._front.loop.call_soon(self._proceed)
+                self._proceed_soon()
             else:
                 self._front.stands(self, self._front.idle)
         else:
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,132 @@
+"""Idle clients that fill the descriptors while discovery is down, and a discovery that repeats itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import socket
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from tests.net_helpers import (
+    WATCH_HEAD,
+    Peer,
+    SteppedClock,
+    answer,
+    backend,
+    call,
+    chunk_list,
+    entry,
+    listing,
+    peer,
+    proxy,
+    read_message,
+    run,
+)
+from tests.test_benchlink import raw_settings
+from tests.test_process import LIMITS, config, port_of, process, write
+
+DESCRIPTORS = 128
+CROWD = 300
+LINES = (
+    20  # in the log of the whole test, but for those of the watch: some of the start, of the list and the end
+)
+PIECES = {"silent": b"", "half": b"GET /api HTTP/1.1\r\nHost: x\r\n", "asked": call(path="/ready")}
+
+
+@pytest.mark.parametrize("kind", PIECES)
+def test_a_crowd_takes_nothing_from_the_watch_the_attempts_and_a_client_that_asks(
+    kind: str, tmp_path: Path
+) -> None:
+    async def ask(port: int, id: str) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(call(id=id))
+        try:
+            return (await read_message(reader))[2]
+        finally:
+            writer.close()
+
+    async def test() -> None:
+        asked = asyncio.Event()
+
+        async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("b", b.port), rev=2)))
+            asked.set()
+            await reader.read()
+
+        async with backend(answer(200, b"a")) as a, backend(answer(200, b"b")) as b:
+            down = socket.socket()  # bound, so that the address is kept, and refusing until it listens
+            down.bind(("127.0.0.1", 0))
+            told = config(
+                discovery=f"127.0.0.1:{down.getsockname()[1]}",
+                known=listing(entry("a", a.port)),
+                limits={"sockets": DESCRIPTORS},
+                settings=raw_settings(limits=LIMITS, registryMode="automatic"),
+            )
+            async with process(write(tmp_path, told), DESCRIPTORS) as made:
+                said: list[str] = []
+                port = await port_of(made, said)
+                assert made.stderr is not None
+                reading = asyncio.create_task(made.stderr.read())
+                crowd = []
+                for round in range(3):  # they come again, as the first ones are closed
+                    for _ in range(CROWD // 3):
+                        crowd.append(socket.create_connection(("127.0.0.1", port)))
+                        crowd[-1].sendall(PIECES[kind])
+                    # Whoever comes behind them is served though they hold all that callers may have.
+                    assert await ask(port, f"r{round}") == b"a"
+                    assert len(os.listdir(f"/proc/{made.pid}/fd")) <= DESCRIPTORS - 8
+                back = Peer(watch)
+                back.server = await asyncio.start_server(back.accept, sock=down)
+                await asked.wait()
+                # The list is on its way.
+                while await ask(port, "r9") != b"b":
+                    pass
+                assert b.connections and back.connections == 1
+                made.send_signal(signal.SIGTERM)
+                for one in crowd:
+                    one.close()
+                assert await made.wait() == 0
+                back.stop()
+                lines = [*said, *(await reading).decode().splitlines()]
+                kinds = Counter("watch" if "watch on discovery" in line else "other" for line in lines)
+                assert kinds["other"] <= LINES, lines
+                assert not any("Traceback" in line or "descriptor" in line for line in lines)
+
+    run(test)
+
+
+def test_a_list_that_comes_again_and_again_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Only what it changes is; here the watch ends behind each whole list."""
+    caplog.set_level(logging.INFO, logger="snowvalve.net.driver")
+    many = [entry(f"s{n}", 9) for n in range(100)]
+
+    def lines() -> list[str]:
+        return [r.getMessage() for r in caplog.records if "backend" in r.getMessage()]
+
+    async def test() -> None:
+        lists = 0
+
+        async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal lists
+            await reader.readuntil(b"\r\n\r\n")
+            lists += 1
+            drains = entry("s0", 9, "terminating" if lists > 4 else "in_service")
+            moves = entry("s1", 10 if lists > 4 else 9)
+            writer.write(WATCH_HEAD + chunk_list(listing(drains, moves, *many[2:], rev=lists)))
+
+        async with peer(watch) as d, proxy(discovery=d.port) as p:
+            clock = SteppedClock()
+            while lists < 9:
+                await asyncio.sleep(0)
+                if p.driver._watch._task is None:
+                    clock.step(1.0)
+            assert len(lines()) == 102
+            assert sum("draining" in line for line in lines()) == 1
+
+    run(test)
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,290 @@
+"""Callers that send too much, too little, or nothing that is a request: the others don't notice them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import resource
+import socket
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from snowvalve.__main__ import SPARE_SOCKETS
+from snowvalve.net import frontend
+from tests.net_helpers import SteppedClock, answer, backend, call, entry, proxy, read_message, run, until
+from tests.test_clients_gone import Client, settled, silent
+from tests.test_frontend import status
+from tests.test_last_answers import streams
+
+
+class Turns:
+    """The most that is done of something in one turn of the event loop."""
+
+    def __init__(self) -> None:
+        self.all = self.most = self._now = 0
+        self._loop = asyncio.get_running_loop()
+        self._turn()
+
+    def _turn(self) -> None:
+        self._now = 0
+        self._handle = self._loop.call_soon(self._turn)
+
+    def count(self) -> None:
+        self.all += 1
+        self._now += 1
+        self.most = max(self.most, self._now)
+
+    def stop(self) -> None:
+        self._handle.cancel()
+
+
+def chunks(count: int) -> bytes:
+    """A request whose body comes one byte a chunk."""
+    head = call("mark", id="chunks", Content_Length="0").replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    return head + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "answers"),
+    [
+        (call(path="/ready") * 1000, 1000),
+        (b"".join(call(id=f"r{n}", Req_Deadline="0") for n in range(1000)), 1000),  # ended as they come
+        (chunks(20_000), 1),
+    ],
+    ids=["ready", "refused", "chunks"],
+)
+def test_what_comes_at_once_is_taken_in_a_little_in_each_turn(
+    sent: bytes, answers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            events, answered = Turns(), Turns()
+            counted(monkeypatch, connection._http, "next_event", events)
+            counted(monkeypatch, connection, "_answer", answered)
+            reader, writer = await streams(client)
+            writer.write(sent)
+            got = [status(await read_message(reader)) for _ in range(answers)]
+            assert set(got) <= {200, 502, 503} and (got[0] == 200 or not b.seen)
+            # Where bytes come in a turn that has been taken already, that is one more step.
+            assert 0 < answered.most <= 2 and events.most <= 2 * frontend.EVENTS_AT_ONCE
+            events.stop()
+            answered.stop()
+            writer.close()
+
+    run(test)
+
+
+def counted(monkeypatch: pytest.MonkeyPatch, of: object, name: str, turns: Turns) -> None:
+    function: Callable[..., object] = getattr(of, name)
+
+    def called(*args: object, **named: object) -> object:
+        turns.count()
+        return function(*args, **named)
+
+    monkeypatch.setattr(of, name, called)
+
+
+KINDS = {"silent": b"", "half": b"GET /api HTTP/1.1\r\nHost", "asked": call(path="/ready")}
+FIXED = (
+    8  # descriptors for standard streams, the event loop and its wake-up, the listener, and one for a file
+)
+WATCHES = 2  # one that stands or comes up, and one that is just being closed
+
+
+class Broken:
+    """A listener whose connections have ended before anything can be set on them."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener = listener
+
+    def accept(self) -> tuple[socket.socket, object]:
+        accepted, address = self._listener.accept()
+        accepted.close()
+        return accepted, address
+
+
+def test_a_connection_that_has_ended_as_it_is_taken_in_leaves_nothing_behind(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+            with monkeypatch.context() as patch:
+                patch.setattr(p.frontend, "_listener", Broken(p.frontend._listener))
+                clients = [Client(p) for _ in range(40)]
+                for client in clients:
+                    client.socket.setblocking(False)
+                    assert await p.frontend.loop.sock_recv(client.socket, 1) == b""
+                    client.socket.close()
+                await until(lambda: not p.frontend._admitting)
+            assert p.frontend.held == 0 and "Traceback" not in caplog.text
+            assert caplog.text.count("lost as it came") == 1
+            assert status(await p.ask(call())) == 200
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", [*KINDS, "open"])
+def test_a_crowd_takes_no_more_descriptors_than_are_kept_for_it(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also on the way from the accept to a place, and from a close to its end. A client then gets in."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=64) as p:
+            accepted: list[socket.socket] = []
+            admit = p.frontend._admit
+
+            def listen(connection: socket.socket) -> Coroutine[None, None, None]:
+                accepted.append(connection)
+                return admit(connection)
+
+            monkeypatch.setattr(p.frontend, "_admit", listen)
+            clients = [Client(p) for _ in range(400)]
+            for n, client in enumerate(clients):
+                client.send(KINDS[kind] if kind != "open" else call(id=f"r{n}"))
+            most = 0
+            while len(accepted) < 400:
+                await asyncio.sleep(0)
+                most = max(most, sum(a.fileno() >= 0 for a in accepted))
+            assert most - 64 <= SPARE_SOCKETS - FIXED - WATCHES
+            await settled()
+            assert p.frontend.held == len(p.frontend.open) == sum(a.fileno() >= 0 for a in accepted)
+            if kind != "open":
+                ready, _, _ = await p.ask(call(path="/ready"))
+                assert ready.split()[1] == "200"
+            for client in clients:
+                client.leave("RST")
+            await until(lambda: not p.frontend.open)
+            await settled()
+            assert p.frontend.held == 0
+
+    run(test)
+
+
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """The system gives this process none for as long as this lasts."""
+    with socket.socket() as free:
+        lowest = free.fileno()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_a_lack_of_descriptors_is_logged_as_it_begins_and_when_it_is_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """It is met again every 0.05 s while it lasts, and who waits for one is served afterwards."""
+    caplog.set_level(logging.INFO, logger="snowvalve.net.frontend")
+
+    def lines() -> list[str]:
+        return [r.getMessage() for r in caplog.records if r.name == "snowvalve.net.frontend"]
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+            clock = SteppedClock()
+            for _ in range(2):  # a second spell is told of again
+                caplog.clear()
+                met, client = Turns(), Client(p)
+                with pytest.MonkeyPatch.context() as patch, no_descriptors():
+                    counted(patch, p.frontend._no_descriptor, "comes", met)
+                    for n in range(30):
+                        await until(lambda n=n, met=met: met.all > n)  # type: ignore[misc]
+                        clock.step(frontend.ACCEPT_AGAIN_S)
+                met.stop()
+                assert lines() == ["no descriptor for a connection: [Errno 24] Too many open files"]
+                client.send(call(path="/ready"))
+                reader, writer = await streams(client)
+                assert status(await read_message(reader)) == 200
+                clock.step(frontend.SPELL_S + frontend.SWEEP_S)
+                await until(lambda: len(lines()) > 1)
+                assert lines()[1:] == [f"no descriptor for a connection: over, {met.all} times in all"]
+                writer.close()
+                clock.step(frontend.SPELL_S + frontend.SWEEP_S)
+                await settled()
+                assert len(lines()) == 2
+
+    run(test)
+
+
+def test_connections_that_are_lost_as_they_come_are_logged_once(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port)) as p:
+
+            async def fails(*args: object) -> None:
+                raise ConnectionAbortedError("gone")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(p.frontend.loop, "connect_accepted_socket", fails)
+                clients = [Client(p) for _ in range(100)]
+                for client in clients:
+                    client.socket.setblocking(False)
+                    with contextlib.suppress(ConnectionError):
+                        assert await p.frontend.loop.sock_recv(client.socket, 1) == b""
+                    client.socket.close()
+            assert caplog.text.count("lost as it came") == 1
+            assert p.frontend.held == 0
+            assert status(await p.ask(call())) == 200
+
+    run(test)
+
+
+def test_what_many_callers_send_ahead_at_once_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whatever the system has of each of them: one read each at the most goes over the limit for all."""
+    monkeypatch.setattr(frontend, "AHEAD_ALL", 100_000)
+    callers = 40
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            clients = [Client(p) for _ in range(callers)]
+            await until(lambda: len(p.frontend.open) == callers)
+            for n, client in enumerate(clients):  # all of it before any is read
+                client.socket.setblocking(False)
+                client.socket.send(call(id=f"r{n}") + call("mark", id=f"s{n}", body=b"x" * 60_000) * 10)
+            connections = list(p.frontend.open)
+            await until(lambda: all(not c.transport.is_reading() for c in connections))
+            assert len(p.driver._callers) == callers  # each with its own request open
+            assert 100_000 < p.frontend.ahead <= 100_000 + callers * frontend.PIECE
+            assert p.frontend.ahead == sum(c._ahead_size for c in connections)
+            for client in clients:
+                client.leave("RST")
+            await until(lambda: not p.frontend.open)
+            assert p.frontend.ahead == 0
+
+    run(test)
+
+
+def test_a_request_that_is_taken_in_over_some_turns_makes_no_room_for_others() -> None:
+    """All of it has come by then."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x")) as b, proxy(entry("b", b.port), most=1) as p:
+            client = Client(p)
+            await until(lambda: len(p.frontend.open) == 1)
+            [connection] = p.frontend.open
+            client.send(chunks(2_500))  # in one read, and in 25 turns
+            await until(lambda: connection._turn_due)
+            other = Client(p)
+            other.send(call(id="other"))
+            await until(lambda: len(p.frontend.open) == 2)
+            assert connection._turn_due and connection in p.frontend.loose
+            for one, expected in ((client, 200), (other, 503)):
+                reader, writer = await streams(one)
+                assert status(await read_message(reader)) == expected
+                writer.close()
+            assert [headers["req-id"] for _, headers, _ in b.seen] == ["chunks"]
+
+    run(test)
--- /dev/null
+++ b/tests/test_last_answers.py
@@ -0,0 +1,258 @@
+"""Last answers: each whole, one for each request, and nothing sent on that came after."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from snowvalve.net import frontend
+from tests.net_helpers import (
+    Proxy,
+    SteppedClock,
+    Streams,
+    answer,
+    backend,
+    call,
+    entry,
+    proxy,
+    read_message,
+    run,
+    until,
+)
+from tests.test_clients_gone import Client, out, settled, silent
+from tests.test_frontend import narrow, slow_reader, status
+
+
+async def streams(client: Client) -> Streams:
+    client.socket.setblocking(False)
+    return await asyncio.open_connection(sock=client.socket)
+
+
+def closes(got: tuple[str, dict[str, str], bytes]) -> bool:
+    return got[1].get("connection") == "close"
+
+
+@pytest.mark.parametrize("behind", [1, 3])
+@pytest.mark.parametrize("read", [True, False])
+def test_requests_behind_one_that_is_open_at_the_end_are_answered(behind: int, read: bool) -> None:
+    """Only the last answer ends the connection, be what follows read or still with the system."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            client.send(call(id="r0"))
+            await until(lambda: len(b.seen) == 1)
+            p.frontend.close_idle()
+            client.send(b"".join(call(id=f"r{n + 1}") for n in range(behind)))
+            if read:
+                [connection] = p.frontend.open
+                await until(lambda: connection._ahead_size > 0)
+            for n in range(1 + behind):
+                await until(lambda n=n: len(b.seen) == n + 1)  # type: ignore[misc]
+                assert not p.frontend.quiet
+                out(p).data_received(answer(200, b"%d" % n))
+            reader, writer = await streams(client)
+            got = [await read_message(reader) for _ in range(1 + behind)]
+            assert [g[2] for g in got] == [b"%d" % n for n in range(1 + behind)]
+            assert [closes(g) for g in got] == [False] * behind + [True]
+            assert await reader.read() == b""
+            writer.close()
+            await until(lambda: p.frontend.quiet and not p.frontend.open)
+
+    run(test)
+
+
+def test_each_request_on_a_connection_over_the_limit_is_refused() -> None:
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            busy, surplus = Client(p), Client(p)
+            busy.send(call(id="busy"))
+            await until(lambda: len(b.seen) == 1)
+            surplus.send(call(id="r1") + call(id="r2") + call(id="r3"))
+            reader, writer = await streams(surplus)
+            got = [await read_message(reader) for _ in range(3)]
+            assert [status(g) for g in got] == [503] * 3
+            assert [closes(g) for g in got] == [False, False, True]
+            assert await reader.read() == b""
+            writer.close()
+            assert len(b.seen) == 1
+            busy.leave("FIN")
+            await until(lambda: not p.frontend.open)
+
+    run(test)
+
+
+@pytest.mark.parametrize("why", ["closing", "asked", "surplus", "bad"])
+def test_nothing_that_comes_after_the_last_answer_is_sent_on(why: str) -> None:
+    """The connection is shut by then; it is read on only so that its end resets nothing."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            busy = Client(p)
+            if why == "surplus":
+                busy.send(call(id="busy"))
+                await until(lambda: len(b.seen) == 1)
+            client = busy if why != "surplus" else Client(p)
+            first = {"asked": call(Connection="close"), "bad": call(id="")}.get(why, call())
+            client.send(first)
+            if why in ("closing", "asked"):
+                await until(lambda: len(b.seen) == 1)
+                p.frontend.closing = why == "closing"
+                out(p).data_received(answer(200, b"x"))
+            [connection] = [c for c in await shut(p) if c._lingering]
+            sent = len(b.seen)
+            client.send(call(id="late1"))
+            await settled()
+            client.send(call(id="late2") + call(id="late3"))
+            await settled()
+            reader, writer = await streams(client)
+            got = await read_message(reader)
+            assert status(got) == {"surplus": 503, "bad": 400}.get(why, 200) and closes(got)
+            assert await reader.read() == b""
+            assert connection in p.frontend.open and not connection._ahead and len(b.seen) == sent
+            writer.close()
+            await until(lambda: connection not in p.frontend.open)
+            busy.socket.close()
+
+    run(test)
+
+
+async def shut(p: Proxy) -> list[frontend.CallerConnection]:
+    """The connections, once one of them has been shut."""
+    await until(lambda: any(c._lingering for c in p.frontend.open))
+    return list(p.frontend.open)
+
+
+@pytest.mark.parametrize("last", [True, False])
+def test_an_answer_that_is_being_written_makes_no_room_for_others(last: bool) -> None:
+    """Its connection counts as idle, or as about to end, from its last byte's hand-over on."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x" * 65_536)) as b, proxy(entry("b", b.port), most=1) as p:
+            narrow(p)
+            reader, writer = await slow_reader(p)
+            writer.write(call(id="slow", Connection="close" if last else "keep-alive"))
+            await until(lambda: any(c.writes for c in p.frontend.open))
+            assert status(await p.ask(call(id="new"))) == 503
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert len((await read_message(reader))[2]) == 65_536
+            writer.close()
+            await until(lambda: not p.frontend.open)
+
+    run(test)
+
+
+@pytest.mark.parametrize("last", [True, False])
+def test_an_answer_is_kept_for_a_client_that_reads_it_slowly(last: bool) -> None:
+    """Also where it is the last one, and then the end comes behind it and not instead of its rest."""
+
+    async def test() -> None:
+        async with backend(answer(200, b"x" * 65_536)) as b, proxy(entry("b", b.port)) as p:
+            narrow(p)
+            clock = SteppedClock()
+            reader, writer = await slow_reader(p)
+            writer.write(call(id="slow", Connection="close" if last else "keep-alive"))
+            await until(lambda: any(c.writes for c in p.frontend.open))
+            [connection] = p.frontend.open
+            clock.step(frontend.UNREAD_S - 0.5)
+            await settled()
+            assert connection in p.frontend.open and connection.writes
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert len((await read_message(reader))[2]) == 65_536
+            await until(lambda: not connection.writes)
+            connection.check(p.frontend.loop.time())
+            assert connection in p.frontend.open and not connection.transport.is_closing()
+            if last:
+                assert await reader.read() == b""
+                clock.step(frontend.LINGER_S + frontend.SWEEP_S)
+                await until(lambda: not p.frontend.open)
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["expiry", "end", "room"])
+@pytest.mark.parametrize("later", [False, True])
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(
+    how: str, later: bool
+) -> None:
+    """It comes after the last look at the connection: the client sends it once more on a new one."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port), most=1) as p:
+            clock, client = SteppedClock(), Client(p)
+            client.send(call(id="first"))
+            await until(lambda: len(b.seen) == 1)
+            out(p).data_received(answer(200, b"first"))
+            await until(lambda: bool(p.frontend.idle))
+            [connection] = p.frontend.open
+            clock.step(1.0)
+            if how == "expiry":
+                connection.check(p.frontend.loop.time() + frontend.IDLE_S + 1.0)
+            elif how == "end":
+                p.frontend.close_idle()
+            else:
+                other = Client(p)
+                await until(lambda: connection.transport.is_closing())
+            assert connection.transport.is_closing()
+            if later:
+                await settled()
+            with contextlib.suppress(ConnectionError):
+                client.send(call(id="crossing"))
+                client.send(call(id="another"))
+            await settled()
+            reader, writer = await streams(client)
+            assert (await read_message(reader))[2] == b"first"  # it was not taken along
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+            writer.close()
+            assert len(b.seen) == 1 and p.driver.idle
+            if how == "room":
+                other.leave("FIN")
+            await until(lambda: not p.frontend.open)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("sent", "statuses", "on"),
+    [
+        ([call(id="a"), call(id="b", Connection="close"), call(id="c")], [200, 200], 2),
+        ([call(id="a"), b"nonsense\r\n\r\n", call(id="c")], [200, 400], 1),
+        ([call(id="a"), call(id="b", Req_Deadline="soon"), call(id="c")], [200, 400], 1),
+        ([call("mark", id="a", body=b"x", Expect="100-continue"), call(id="b")], [100, 200, 200], 2),
+        ([call(id="a"), call(path="/ready"), call(id="a")], [200, 200, 200], 2),
+    ],
+    ids=["a close in the middle", "noise in the middle", "a bad one in the middle", "a 100", "one id again"],
+)
+@pytest.mark.parametrize("whole", [True, False])
+def test_each_of_several_requests_at_once_gets_one_final_answer_up_to_the_last(
+    sent: list[bytes], statuses: list[int], on: int, whole: bool
+) -> None:
+    """Also where the rest comes only while the first one is open."""
+
+    async def test() -> None:
+        async with silent() as b, proxy(entry("b", b.port)) as p:
+            client = Client(p)
+            client.send(b"".join(sent) if whole else sent[0])
+            for n in range(on):
+                await until(lambda n=n: len(b.seen) == n + 1)  # type: ignore[misc]
+                if n == 0 and not whole:
+                    client.send(b"".join(sent[1:]))
+                out(p).data_received(answer(200, b"%d" % n))
+            reader, writer = await streams(client)
+            got = [await read_message(reader) for _ in statuses]
+            assert [status(g) for g in got] == statuses
+            await settled()
+            if statuses[-1] == 400 or len(statuses) == 2:
+                assert await reader.read() == b""
+            else:
+                writer.write(call(path="/ready", Connection="close"))
+                assert status(await read_message(reader)) == 200 and await reader.read() == b""
+            assert len(b.seen) == on
+            writer.close()
+            await until(lambda: not p.frontend.open)
+
+    run(test)
