Bound the waits between calls for the list by the term on when news counts

Cause: `_ask_again` in decide.py bounded the growing wait by BACKOFF_SHARE of the time within which a balancer must ask, and by nothing else. With a `mustAskInUs` of an hour the waits double up to 450 s, while news counts as told 6 s after discovery had it and could be reached. With the default of 10 s they end at 1.25 s.

Change: the longest wait is what the 6 s leave behind the worst sum: a call given up without a word (2.5 s), a call that waits its turn (2 s), and 250 ms. That is 1.25 s, so nothing changes at the default. The jitter stays.

Seen to fail without the mend for a refusal, a reset, an ended watch and a spoilt list.

Ruled out: giving calls up sooner than 2.5 s, which sends them to the end of discovery's queue.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -75,6 +75,14 @@
 BACKOFF_US = 500_000  # first wait before asking for the list again elsewhere, microseconds
 BACKOFF_JITTER = 0.3  # share of such a wait that chance may take off
 BACKOFF_SHARE = 0.125  # longest such wait, as a share of the time within which we must ask
+# Longest such wait, whatever the settings say. News counts as told 6 s after discovery had it and could be
+# reached. A call that began just before may be given up without a word after 2.5 s; the wait follows, then
+# a call that is served after 2 s in discovery's queue. The rest is for the way and a late event loop.
+TOLD_US = 6_000_000
+GIVEN_UP_US = 2_500_000
+TURN_US = 2_000_000
+SLACK_US = 250_000
+BACKOFF_MOST_US = TOLD_US - GIVEN_UP_US - TURN_US - SLACK_US
 
 
 def siegmund_threshold(shift: float, spread: float, run_length: float) -> float:
@@ -794,7 +802,7 @@
         # when discovery is back.
         wait = int(self.backoff * self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0))
         self.subscribe_timer = self._set_timer(now + wait, None)
-        longest = int(BACKOFF_SHARE * self.settings.rules.must_ask_us)
+        longest = min(BACKOFF_MOST_US, int(BACKOFF_SHARE * self.settings.rules.must_ask_us))
         self.backoff = min(2 * self.backoff, max(BACKOFF_US, longest))
 
     def _admit(self, now: int, entry: i.Backend) -> None:
--- /dev/null
+++ b/tests/test_terms_discovery.py
@@ -0,0 +1,135 @@
+"""The terms on when news counts as told, held over real sockets at the worst moment of each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+
+from snowvalve import interface as i
+from snowvalve.decide import BACKOFF_MOST_US, GIVEN_UP_US, SLACK_US, TOLD_US, TURN_US
+from snowvalve.net.discovery import ASKED_S
+from tests.helpers import S, settings
+from tests.net_helpers import (
+    WATCH_HEAD,
+    Peer,
+    Proxy,
+    SteppedClock,
+    answer,
+    chunk,
+    chunk_list,
+    entry,
+    listing,
+    peer,
+    proxy,
+    run,
+    until,
+)
+
+TOLD_S, TURN_S = 6.0, 2.0  # by the terms
+STEP_S = 0.02
+TURNS = 40  # of the event loop between two steps: far more than a call and its answer take on loopback
+
+ASKED = settings(must_subscribe=True, rules=i.Rules(0.4, 5 * S, 3.0, S, must_ask_us=3_600 * S))
+PUSHED = settings(rules=i.Rules(0.4, 5 * S, 3.0, S, must_ask_us=3_600 * S))
+BOTH = pytest.mark.parametrize("setup", [ASKED, PUSHED], ids=["asked", "pushed"])
+
+
+def list_of(rev: int) -> bytes:
+    return chunk_list(listing(entry(f"s-{rev}", 9), rev=rev))
+
+
+@dataclass
+class Call:
+    """One call to discovery, held open until the test ends it."""
+
+    at: float  # stepped seconds
+    writer: asyncio.StreamWriter
+    over: asyncio.Event = field(default_factory=asyncio.Event)  # the proxy has given it up
+
+    def say(self, said: bytes, end: bool = False) -> None:
+        self.writer.write(said)
+        if end:
+            self.writer.close()
+
+
+class Discovery:
+    """Says to each call what the test tells it to, at stepped times; waits always last their longest."""
+
+    def __init__(self, clock: SteppedClock) -> None:
+        self.clock, self.calls = clock, list[Call]()
+        self.meet: Callable[[Call], None] = lambda call: None
+        self.peer: Peer | None = None
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        call = Call(self.clock.ahead, writer)
+        self.calls.append(call)
+        self.meet(call)
+        try:
+            await reader.read()
+        finally:
+            call.over.set()
+
+
+@asynccontextmanager
+async def watched(setup: i.Settings) -> AsyncIterator[tuple[Discovery, Proxy, SteppedClock]]:
+    """A proxy on a discovery, on one stepped clock: the event loop's and the module's."""
+    clock = SteppedClock()
+    discovery = Discovery(clock)
+    async with peer(discovery.handle) as d:
+        discovery.peer = d
+        async with proxy(setup=setup, discovery=d.port) as p:
+            real = p.driver._clock.now_us
+            p.driver._clock.now_us = lambda: real() + round(clock.ahead * 1e6)  # type: ignore[method-assign]
+            p.driver._balancer.jitter.uniform = lambda a, b: b  # type: ignore[method-assign]
+            yield discovery, p, clock
+
+
+async def step(clock: SteppedClock, holds: Callable[[], bool], most_s: float = 60.0) -> float:
+    """Moves time on until something holds, or for that long; the seconds that it took."""
+    began = clock.ahead
+    while not holds() and clock.ahead - began < most_s:
+        clock.step(STEP_S)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+    return clock.ahead - began
+
+
+def test_the_longest_wait_follows_from_the_terms() -> None:
+    assert (TOLD_US, TURN_US, GIVEN_UP_US) == (TOLD_S * S, TURN_S * S, ASKED_S * S)
+    assert ASKED_S > TURN_S  # a call is not given up before its turn
+    assert GIVEN_UP_US + BACKOFF_MOST_US + TURN_US + SLACK_US <= TOLD_US
+
+
+FAILURES: dict[str, Callable[[Call], None]] = {
+    "refused": lambda call: call.say(answer(503), end=True),
+    "reset": lambda call: call.writer.transport.abort(),
+    "ended": lambda call: call.say(WATCH_HEAD + b"0\r\n\r\n", end=True),
+    "spoilt": lambda call: call.say(WATCH_HEAD + chunk("nonsense\n")),
+}
+
+
+@BOTH
+@pytest.mark.parametrize("failure", FAILURES)
+def test_after_many_failed_calls_news_comes_in_time(setup: i.Settings, failure: str) -> None:
+    """However long it lasted: discovery is there from the moment on in which the last of them failed."""
+
+    async def test() -> None:
+        async with watched(setup) as (d, p, clock):
+            d.meet = FAILURES[failure]
+            await step(clock, lambda: len(d.calls) == 6)
+            failed = d.calls[-1]
+            d.meet = lambda call: None
+            await until(lambda: p.driver._watch._task is None)
+            waited = await step(clock, lambda: d.calls[-1] is not failed)
+            if setup is ASKED:  # its turn takes as long as it may
+                waited += await step(clock, lambda: d.calls[-1].over.is_set(), TURN_S)
+            d.calls[-1].say(WATCH_HEAD + list_of(7))
+            waited += await step(clock, lambda: p.driver._watch.since == 7, 1.0)
+            assert p.driver._watch.since == 7 and waited < TOLD_S
+
+    run(test)
