Count the wait before the next call for the list from the failed call's beginning

Cause: `_ask_again` in decide.py laid the grown wait behind the end of a call however long that call had stood. The growth is undone by a list only. So a watch that had brought beats alone since the waits grew and then fell silent was followed up after 3 s of silence, 1.25 s of waiting and 2 s in discovery's queue; and a call that was refused after its 2 s in the queue paid the longest wait twice.

Change: the grown wait runs from the beginning of the failed call; a first wait, up to 0.5 s with its jitter, is kept behind its end in any case. The longest wait follows from the sums, which now hold a call that is refused in its turn as well; it stays 1.25 s.

Ruled out: more calls on a discovery that is just back. A call that stands for 2.5 s without a word is followed up after 0.35 to 0.5 s, a call every 3 s; calls that are refused at once keep a spacing of up to 1.25 s.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -76,13 +76,16 @@
 BACKOFF_JITTER = 0.3  # share of such a wait that chance may take off
 BACKOFF_SHARE = 0.125  # longest such wait, as a share of the time within which we must ask
 # Longest such wait, whatever the settings say. News counts as told 6 s after discovery had it and could be
-# reached. A call that began just before may be given up without a word after 2.5 s; the wait follows, then
-# a call that is served after 2 s in discovery's queue. The rest is for the way and a late event loop.
+# reached, or after a watch fell silent. A wait runs from the beginning of the failed call, but a first wait
+# is kept behind its end in any case. These sums stay below, with time for the way and a late event loop:
+# - a call has just failed at once: the longest wait, 2 s in discovery's queue and refused, a first wait, 2 s
+#   in the queue and served; this one binds;
+# - a call has just begun: given up without a word after 2.5 s, a first wait, 2 s in the queue and served;
+# - a watch has fallen silent: given up after 3 s, a first wait, 2 s in the queue and served.
 TOLD_US = 6_000_000
-GIVEN_UP_US = 2_500_000
 TURN_US = 2_000_000
 SLACK_US = 250_000
-BACKOFF_MOST_US = TOLD_US - GIVEN_UP_US - TURN_US - SLACK_US
+BACKOFF_MOST_US = TOLD_US - TURN_US - BACKOFF_US - TURN_US - SLACK_US
 
 
 def siegmund_threshold(shift: float, spread: float, run_length: float) -> float:
@@ -799,9 +802,10 @@
             self.subscribe_timer = self._set_timer(max(now, self.subscribed_at + PUSHED_US), None)
             return
         # Later each time, always within bounds. Guards against all balancers asking at the same moment
-        # when discovery is back.
-        wait = int(self.backoff * self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0))
-        self.subscribe_timer = self._set_timer(now + wait, None)
+        # when discovery is back. A call that stood long has spared discovery by that.
+        part = self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0)
+        at = max(now + int(part * BACKOFF_US), self.subscribed_at + int(part * self.backoff))
+        self.subscribe_timer = self._set_timer(at, None)
         longest = min(BACKOFF_MOST_US, int(BACKOFF_SHARE * self.settings.rules.must_ask_us))
         self.backoff = min(2 * self.backoff, max(BACKOFF_US, longest))
 
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -10,8 +10,8 @@
 import pytest
 
 from snowvalve import interface as i
-from snowvalve.decide import BACKOFF_MOST_US, GIVEN_UP_US, SLACK_US, TOLD_US, TURN_US
-from snowvalve.net.discovery import ASKED_S
+from snowvalve.decide import BACKOFF_MOST_US, BACKOFF_US, SLACK_US, TOLD_US, TURN_US
+from snowvalve.net.discovery import ASKED_S, SILENCE_S
 from tests.helpers import S, settings
 from tests.net_helpers import (
     WATCH_HEAD,
@@ -26,7 +26,6 @@
     peer,
     proxy,
     run,
-    until,
 )
 
 TOLD_S, TURN_S = 6.0, 2.0  # by the terms
@@ -100,9 +99,10 @@
 
 
 def test_the_longest_wait_follows_from_the_terms() -> None:
-    assert (TOLD_US, TURN_US, GIVEN_UP_US) == (TOLD_S * S, TURN_S * S, ASKED_S * S)
+    assert (TOLD_US, TURN_US) == (TOLD_S * S, TURN_S * S)
     assert ASKED_S > TURN_S  # a call is not given up before its turn
-    assert GIVEN_UP_US + BACKOFF_MOST_US + TURN_US + SLACK_US <= TOLD_US
+    assert BACKOFF_MOST_US + TURN_US + BACKOFF_US + TURN_US + SLACK_US <= TOLD_US
+    assert max(ASKED_S, SILENCE_S) * S + BACKOFF_US + TURN_US + SLACK_US <= TOLD_US
 
 
 FAILURES: dict[str, Callable[[Call], None]] = {
@@ -113,6 +113,32 @@
 }
 
 
+async def after_failures(
+    d: Discovery, clock: SteppedClock, failure: Callable[[Call], None], many: int = 6
+) -> None:
+    """Lets this many calls fail, so that the waits have grown; the last of them has just failed."""
+    d.meet = failure
+    await step(clock, lambda: len(d.calls) == many)
+    d.meet = lambda call: None
+
+
+async def next_call(d: Discovery, clock: SteppedClock) -> float:
+    """The seconds until a further call comes."""
+    before = len(d.calls)
+    return await step(clock, lambda: len(d.calls) > before)
+
+
+async def served(d: Discovery, p: Proxy, clock: SteppedClock, setup: i.Settings) -> float:
+    """Has the present call served after its longest time in the queue; the seconds until it is told."""
+    waited = 0.0
+    if setup is ASKED:
+        waited = await step(clock, lambda: d.calls[-1].over.is_set(), TURN_S)
+    d.calls[-1].say(WATCH_HEAD + list_of(7))
+    waited += await step(clock, lambda: p.driver._watch.since == 7, 1.0)
+    assert p.driver._watch.since == 7
+    return waited
+
+
 @BOTH
 @pytest.mark.parametrize("failure", FAILURES)
 def test_after_many_failed_calls_news_comes_in_time(setup: i.Settings, failure: str) -> None:
@@ -120,16 +146,44 @@
 
     async def test() -> None:
         async with watched(setup) as (d, p, clock):
-            d.meet = FAILURES[failure]
-            await step(clock, lambda: len(d.calls) == 6)
-            failed = d.calls[-1]
-            d.meet = lambda call: None
-            await until(lambda: p.driver._watch._task is None)
-            waited = await step(clock, lambda: d.calls[-1] is not failed)
-            if setup is ASKED:  # its turn takes as long as it may
-                waited += await step(clock, lambda: d.calls[-1].over.is_set(), TURN_S)
-            d.calls[-1].say(WATCH_HEAD + list_of(7))
-            waited += await step(clock, lambda: p.driver._watch.since == 7, 1.0)
-            assert p.driver._watch.since == 7 and waited < TOLD_S
+            await after_failures(d, clock, FAILURES[failure])
+            waited = await next_call(d, clock) + await served(d, p, clock, setup)
+            assert waited < TOLD_S
+
+    run(test)
+
+
+def test_a_call_that_is_refused_in_its_turn_is_made_good_in_time() -> None:
+    """The waits have grown and the last call has just failed; the next one is refused after 2 s."""
+
+    async def test() -> None:
+        async with watched(ASKED) as (d, p, clock):
+            await after_failures(d, clock, FAILURES["refused"])
+            waited = await next_call(d, clock)
+            waited += await step(clock, lambda: d.calls[-1].over.is_set(), TURN_S)
+            FAILURES["refused"](d.calls[-1])
+            waited += await next_call(d, clock) + await served(d, p, clock, ASKED)
+            assert waited < TOLD_S
+
+    run(test)
+
+
+@BOTH
+def test_a_watch_that_only_beats_and_then_falls_silent_is_made_good_in_time(
+    setup: i.Settings, caplog: pytest.LogCaptureFixture
+) -> None:
+    """It has brought no list since the waits grew: there was nothing to tell."""
+
+    async def test() -> None:
+        async with watched(setup) as (d, p, clock):
+            await after_failures(d, clock, FAILURES["refused"])
+            await next_call(d, clock)
+            caplog.clear()
+            d.calls[-1].say(WATCH_HEAD + chunk("\n"))
+            await step(clock, lambda: d.calls[-1].over.is_set(), 1.5)
+            d.calls[-1].say(chunk("\n"))  # its last word
+            waited = await next_call(d, clock)
+            assert "broke: silent" in caplog.text
+            assert waited + await served(d, p, clock, setup) < TOLD_S
 
     run(test)
