Refuse numbers that are none or out of range, by the field's name

Cause: `checked` in settings.py looked at the kind alone. JSON as Python reads it has NaN, Infinity and whole numbers of any length.

Change: a number has to lie within 64 bits.

Ruled out: seeds, which have 64 bits and still fit; numbers in fields that are not read, which stay unread.

--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -8,6 +8,8 @@
 
 Fields = dict[str, Any]
 
+NUMBER_MOST = 2**64  # guards against numbers that no float or timer can take; seeds have 64 bits
+
 
 class WireError(Exception):
     """What came in cannot be understood; the text names the field."""
@@ -33,6 +35,9 @@
     wrong_bool = isinstance(value, bool) and kind is not bool
     if wrong_bool or not isinstance(value, kind):
         raise WireError(f"field {name} has a value of the wrong kind: {value!r:.60}")
+    # Not a number compares false to everything.
+    if isinstance(value, int | float) and not -NUMBER_MOST < value < NUMBER_MOST:
+        raise WireError(f"field {name} is out of range: {value!r:.60}")
     return value
 
 
