Name an impossible value by its field in the file, and refuse three that were taken

Cause: `read_settings` and `read_class` in settings.py passed on interface.py's ValueError, which has that file's names and no place: "impossible settings: aim_us is not above zero" for one class of ten. `Source.read` in __main__.py took every ValueError for a bad seed, wherever it came from. A negative time-out of connections, a negative idle time and no socket at all were taken.

Change: each object is read by a function of its own that names the field as read, with its place. The seed is read by itself. The time-out has to be above zero, the idle time not below, the sockets one at least.

Result: 29 impossible values, each refused with "field settings.lanes[0].onTimeUs ..."; 28 seen to fail without (the bad seed did not).

tests/test_benchlink.py: four rows named interface.py's names; they now want the field with its place.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -86,24 +86,38 @@
         """The configuration as the file now has it. Raises ConfigError."""
         named = {**self._load(), **self._overrides}
         try:
-            seed = need(named, "seed", (str, int))
             settings = need(named, "settings", dict)
             limits = need(settings, "limits", dict, "settings.")
+            connect_timeout_us = need(limits, "connectTimeoutUs", int, "settings.limits.")
+            idle_us = need(limits, "connIdleUs", int, "settings.limits.")
+            sockets = optional(optional(named, "limits", {}), "sockets", 1024, "limits.")
+            for field, value, least in (
+                ("settings.limits.connectTimeoutUs", connect_timeout_us, 1),
+                ("settings.limits.connIdleUs", idle_us, 0),
+                ("limits.sockets", sockets, 1),
+            ):
+                if value < least:
+                    raise WireError(f"field {field} is below {least}: {value}")
             return Config(
                 name=need(named, "name", str),
                 listen=read_address(need(named, "listen", str), "listen"),
                 discovery=read_address(need(named, "discovery", str), "discovery"),
-                seed=int(seed, 16) if isinstance(seed, str) else seed,
-                sockets=optional(optional(named, "limits", {}), "sockets", 1024, "limits."),
-                connect_timeout_s=need(limits, "connectTimeoutUs", int, "settings.limits.") / 1e6,
-                idle_s=need(limits, "connIdleUs", int, "settings.limits.") / 1e6,
+                seed=read_seed(need(named, "seed", (str, int))),
+                sockets=sockets,
+                connect_timeout_s=connect_timeout_us / 1e6,
+                idle_s=idle_us / 1e6,
                 known=read_list(named["known"], "known.") if named.get("known") else None,
                 settings=read_settings(settings),
             )
         except WireError as error:
             raise ConfigError(str(error)) from None
-        except ValueError:
-            raise ConfigError("field seed is not a hexadecimal number") from None
+
+
+def read_seed(seed: str | int) -> int:
+    try:
+        return int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise WireError(f"field seed is not a hexadecimal number: {seed!r:.60}") from None
 
 
 class Reloader:
--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum
+from typing import Any, TypeVar
 
 from snowvalve import interface as i
 
@@ -43,23 +46,90 @@
 
 NUMBER = (int, float)
 
-
-def read_class(lane: Any, where: str) -> i.RequestClass:
+NAMES = {  # of interface.py's fields in the form that is read; the others have the same name there
+    "aim_us": "onTimeUs",
+    "deadline_us": "deadlineUs",
+    "window_us": "repeatWindowUs",
+    "late_worth": "lateValue",
+    "quota_per_s": "quotaPerS",
+    "start_capacity": "startCapacity",
+    "cold_us": "coldUs",
+    "fall_multiple": "fallMultiple",
+    "fall_us": "fallUs",
+    "must_ask_us": "mustAskInUs",
+    "max_attempts": "maxAttempts",
+    "retry_after_us": "maxRetryAfterUs",
+    "connect_timeout_us": "connectTimeoutUs",
+    "classes": "lanes",
+    "over_share_worth": "overShareWorth",
+    "least_class": "resultMix.worstClass",
+    "cross_zone": "deductions.crossZone",
+    "tick_us": "tickUs",
+}
+
+
+@contextmanager
+def possible(where: str) -> Iterator[None]:
+    """Names the field, as it was read, of a value that interface.py does not take."""
     try:
-        repeat = i.Repeat(need(lane, "idempotency", str, where))
-        scope = i.Scope(optional(lane, "keyScope", "all", where))
+        yield
     except ValueError as error:
-        raise WireError(f"bad value in {where[:-1]}: {error}") from None
-    return i.RequestClass(
-        name=need(lane, "name", str, where),
-        aim_us=need(lane, "onTimeUs", int, where),
-        deadline_us=need(lane, "deadlineUs", int, where),
-        repeat=repeat,
-        scope=scope,
-        window_us=optional(lane, "repeatWindowUs", 0, where),
-        worth=optional(lane, "worth", 1.0, where),
-        late_worth=optional(lane, "lateValue", 0.0, where),
-    )
+        name, _, wrong = str(error).partition(" ")
+        raise WireError(f"field {where}{NAMES.get(name, name)} {wrong}") from None
+
+
+Choice = TypeVar("Choice", bound=Enum)
+
+
+def choice(kind: type[Choice], value: str, name: str) -> Choice:
+    try:
+        return kind(value)
+    except ValueError:
+        raise WireError(f"field {name} has an unknown value: {value!r:.60}") from None
+
+
+def read_class(lane: Any, where: str) -> i.RequestClass:
+    repeat = choice(i.Repeat, need(lane, "idempotency", str, where), where + "idempotency")
+    scope = choice(i.Scope, optional(lane, "keyScope", "all", where), where + "keyScope")
+    with possible(where):
+        return i.RequestClass(
+            name=need(lane, "name", str, where),
+            aim_us=need(lane, "onTimeUs", int, where),
+            deadline_us=need(lane, "deadlineUs", int, where),
+            repeat=repeat,
+            scope=scope,
+            window_us=optional(lane, "repeatWindowUs", 0, where),
+            worth=optional(lane, "worth", 1.0, where),
+            late_worth=optional(lane, "lateValue", 0.0, where),
+        )
+
+
+def read_tenant(tenant: Any, where: str) -> i.Tenant:
+    with possible(where):
+        return i.Tenant(need(tenant, "name", str, where), need(tenant, "quotaPerS", NUMBER, where))
+
+
+def read_rules(contract: Fields, where: str) -> i.Rules:
+    with possible(where):
+        return i.Rules(
+            start_capacity=need(contract, "startCapacity", NUMBER, where),
+            cold_us=need(contract, "coldUs", int, where),
+            fall_multiple=need(contract, "fallMultiple", NUMBER, where),
+            fall_us=need(contract, "fallUs", int, where),
+            must_ask_us=optional(contract, "mustAskInUs", 10_000_000, where),
+        )
+
+
+def read_limits(limits: Fields, where: str) -> i.Limits:
+    advice = optional(limits, "retryAfter", False, where)
+    with possible(where):
+        return i.Limits(
+            max_attempts=need(limits, "maxAttempts", int, where),
+            cancel=optional(limits, "cancel", False, where),
+            probing=optional(limits, "probing", False, where),
+            retry_after_us=optional(limits, "maxRetryAfterUs", 0, where) if advice else 0,
+            connect_timeout_us=optional(limits, "connectTimeoutUs", 0, where),
+        )
 
 
 def read_settings(raw: Fields) -> i.Settings:
@@ -68,36 +138,13 @@
     lanes = need(raw, "lanes", list, top)
     contract = need(raw, "contract", dict, top)
     limits = need(raw, "limits", dict, top)
-    rules, most = top + "contract.", top + "limits."
-    tenants = enumerate(optional(raw, "tenants", [], top))
-    try:
+    tenants = optional(raw, "tenants", [], top)
+    with possible(top):
         return i.Settings(
             classes=tuple(read_class(lane, f"{top}lanes[{n}].") for n, lane in enumerate(lanes)),
-            rules=i.Rules(
-                start_capacity=need(contract, "startCapacity", NUMBER, rules),
-                cold_us=need(contract, "coldUs", int, rules),
-                fall_multiple=need(contract, "fallMultiple", NUMBER, rules),
-                fall_us=need(contract, "fallUs", int, rules),
-                must_ask_us=optional(contract, "mustAskInUs", 10_000_000, rules),
-            ),
-            limits=i.Limits(
-                max_attempts=need(limits, "maxAttempts", int, most),
-                cancel=optional(limits, "cancel", False, most),
-                probing=optional(limits, "probing", False, most),
-                retry_after_us=(
-                    optional(limits, "maxRetryAfterUs", 0, most)
-                    if optional(limits, "retryAfter", False, most)
-                    else 0
-                ),
-                connect_timeout_us=optional(limits, "connectTimeoutUs", 0, most),
-            ),
-            tenants=tuple(
-                i.Tenant(
-                    need(t, "name", str, f"{top}tenants[{n}]."),
-                    need(t, "quotaPerS", NUMBER, f"{top}tenants[{n}]."),
-                )
-                for n, t in tenants
-            ),
+            rules=read_rules(contract, top + "contract."),
+            limits=read_limits(limits, top + "limits."),
+            tenants=tuple(read_tenant(t, f"{top}tenants[{n}].") for n, t in enumerate(tenants)),
             over_share_worth=optional(raw, "overShareWorth", 1.0, top),
             least_class=optional(optional(raw, "resultMix", {}, top), "worstClass", 0.0, top + "resultMix."),
             instances=optional(raw, "instances", 1, top),
@@ -107,5 +154,3 @@
             must_subscribe=optional(raw, "registryMode", "automatic", top) == "subscribe",
             tick_us=optional(raw, "tickUs", 1_000, top),
         )
-    except ValueError as error:
-        raise WireError(f"impossible settings: {error}") from None
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -151,10 +151,10 @@
     "request without class": (batch_of(*start(), without(request("r"), "profile")), "REQ.profile"),
     "patience a text": (batch_of(*start(), {**request("r"), "patienceLeftUs": "5"}), "REQ.patienceLeftUs"),
     "outcome without time": (batch_of(*start(), without(END, "rttUs")), "ATTEMPT_END.rttUs"),
-    "class twice": (batch_of(*start(lanes=raw_settings()["lanes"] * 2)[:1]), "classes"),
-    "no classes": (batch_of(*start(lanes=[])[:1]), "classes"),
-    "index too large": (batch_of(*start(instances=2, index=2)[:1]), "index"),
-    "negative tick": (batch_of(*start(tickUs=-1)[:1]), "tick_us"),
+    "class twice": (batch_of(*start(lanes=raw_settings()["lanes"] * 2)[:1]), "field settings.lanes "),
+    "no classes": (batch_of(*start(lanes=[])[:1]), "field settings.lanes "),
+    "index too large": (batch_of(*start(instances=2, index=2)[:1]), "field settings.index "),
+    "negative tick": (batch_of(*start(tickUs=-1)[:1]), "field settings.tickUs "),
 }
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -61,3 +61,50 @@
     with pytest.raises(ConfigError) as raised:
         Source(env).read()
     assert f"field {name_of(path)} " in str(raised.value) and "\n" not in str(raised.value)
+
+
+IMPOSSIBLE: list[tuple[Path_, object]] = [
+    (("seed",), "8c1f30d27a5be96g"),
+    (("limits", "sockets"), 0),
+    (("limits", "sockets"), -1),
+    (("settings", "limits", "connectTimeoutUs"), -1),
+    (("settings", "limits", "connectTimeoutUs"), 0),
+    (("settings", "limits", "connIdleUs"), -30),
+    (("settings", "limits", "maxAttempts"), 0),
+    (("settings", "contract", "startCapacity"), 1.5),
+    (("settings", "contract", "coldUs"), -1),
+    (("settings", "contract", "fallMultiple"), 0),
+    (("settings", "contract", "fallUs"), 0),
+    (("settings", "contract", "mustAskInUs"), 0),
+    (("settings", "lanes"), []),
+    ((*LANE, "name"), ""),
+    ((*LANE, "idempotency"), "odd"),
+    ((*LANE, "keyScope"), "odd"),
+    ((*LANE, "onTimeUs"), 0),
+    ((*LANE, "deadlineUs"), 0),
+    ((*LANE, "repeatWindowUs"), -1),
+    ((*LANE, "worth"), -1),
+    ((*LANE, "lateValue"), 2),
+    (("settings", "tenants"), [{"name": "a", "quotaPerS": 1}, {"name": "a", "quotaPerS": 1}]),
+    (("settings", "overShareWorth"), -1),
+    (("settings", "resultMix", "worstClass"), 2),
+    (("settings", "instances"), 0),
+    (("settings", "index"), 7),
+    (("settings", "deductions", "crossZone"), -1),
+    (("settings", "tickUs"), -1),
+]
+
+
+@pytest.mark.parametrize(
+    ("path", "value"), IMPOSSIBLE, ids=[f"{name_of(p)}={v!r:.20}" for p, v in IMPOSSIBLE]
+)
+def test_an_impossible_value_is_named_as_in_the_file(tmp_path: Path, path: Path_, value: object) -> None:
+    with pytest.raises(ConfigError) as raised:
+        Source(write(tmp_path, with_(path, value))).read()
+    assert f"field {name_of(path)} " in str(raised.value)
+
+
+def test_an_impossible_quota_is_named_as_in_the_file(tmp_path: Path) -> None:
+    tenants = [{"name": "a", "quotaPerS": 1}, {"name": "b", "quotaPerS": -1}]
+    with pytest.raises(ConfigError, match=r"field settings\.tenants\[1\]\.quotaPerS is negative"):
+        Source(write(tmp_path, with_(("settings", "tenants"), tenants))).read()
