Refuse a spoilt list whole and name why in one line

Cause: `read_list` and `read_address` in discovery.py checked kinds, not values. A port 0, a host of two words or of half a character, a start before 1970 or in microseconds, and a negative revision were taken, so that a part of the list led nowhere or left a backend cold for good. A port of 5,000 digits, and a uid of half a character, raised ValueErrors that `Watch._take` told as "not JSON" without the field, and that `Source.read` in __main__.py doesn't catch. JSON nested too deep raised RecursionError past `_take`: the watch was opened anew, with a stack trace of it.

Change: an address has a host of plain letters or in brackets and a port from 1 to 65535 (0 stays for `listen`); a start is from 0 to a bound; a revision isn't negative; nested JSON is told like any that can't be read. A uid of half a character is taken like any other, as JSON allows it.

Ruled out: half of a list applied: a list is read whole before anything of it is taken over.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -100,7 +100,7 @@
                     raise WireError(f"field {field} is below {least}: {value}")
             return Config(
                 name=need(named, "name", str),
-                listen=read_address(need(named, "listen", str), "listen"),
+                listen=read_address(need(named, "listen", str), "listen", least_port=0),
                 discovery=read_address(need(named, "discovery", str), "discovery"),
                 seed=read_seed(need(named, "seed", (str, int))),
                 sockets=sockets,
--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -14,7 +14,7 @@
 
 from snowvalve import interface as i
 from snowvalve.net.upstream import Address
-from snowvalve.settings import NUMBER, WireError, need, optional
+from snowvalve.settings import WireError, need, optional
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +25,7 @@
 PUSHED_S = 1.0
 ASKED_S = 2.5
 TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
+BOOT_MOST_MS = 10**14  # guards against a start in another unit, which would leave its backend cold for good
 STATES = {
     "in_service": i.Condition.UP,
     "terminating": i.Condition.DRAINING,
@@ -49,14 +50,19 @@
 
 def backend_number(uid: str) -> int:
     """The module's number for a uid: the same at every proxy and after every restart."""
-    return int.from_bytes(hashlib.blake2b(uid.encode(), digest_size=7).digest(), "big")
+    # JSON may name half a character; guards the list against one odd name.
+    name = uid.encode(errors="surrogatepass")
+    return int.from_bytes(hashlib.blake2b(name, digest_size=7).digest(), "big")
 
 
-def read_address(text: str, where: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or int(port) > 65535:
+ADDRESS = re.compile(r"([0-9A-Za-z._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+
+
+def read_address(text: str, where: str, least_port: int = 1) -> Address:
+    found = ADDRESS.fullmatch(text)
+    if found is None or not least_port <= int(found[2]) <= 65535:
         raise WireError(f"field {where} is not an address: {text!r:.60}")
-    return host.strip("[]"), int(port)
+    return found[1].strip("[]"), int(found[2])
 
 
 def read_list(raw: object, where: str = "") -> TargetList:
@@ -70,6 +76,9 @@
         state = STATES.get(need(entry, "state", str, row))
         if state is None:
             raise WireError(f"field {row}state has an unknown value: {entry['state']!r:.60}")
+        boot_ms = optional(entry, "boot_ms", 0.0, row)
+        if not 0 <= boot_ms <= BOOT_MOST_MS:
+            raise WireError(f"field {row}boot_ms is not a start: {boot_ms!r:.60}")
         backends.append(
             i.Backend(
                 id=number,
@@ -77,12 +86,14 @@
                 zone=optional(entry, "az", "", row),
                 cell=optional(entry, "pod_group", 0, row),
                 # The module's clock is Unix time at the start of the process, and monotonic from there on.
-                since_us=round(1_000 * need(entry, "boot_ms", NUMBER, row)) if entry.get("boot_ms") else 0,
+                since_us=round(1_000 * boot_ms),
             )
         )
         if state is not i.Condition.GONE:
             addresses[number] = read_address(need(entry, "endpoint", str, row), row + "endpoint")
     version, full = need(raw, "rev", int, where), need(raw, "all", bool, where)
+    if version < 0:
+        raise WireError(f"field {where}rev is negative: {version}")
     return TargetList(version, full, tuple(backends), addresses, uids)
 
 
@@ -207,7 +218,7 @@
             return
         try:
             news = read_list(json.loads(text))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise WatchBroken(f"not JSON: {error}") from None
         self.since = news.version
         self._on_list(news)
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -11,7 +13,7 @@
 
 from snowvalve import interface as i
 from snowvalve.decide import BACKOFF_MOST_US, BACKOFF_US, SLACK_US, TOLD_US, TURN_US
-from snowvalve.net.discovery import ASKED_S, SILENCE_S
+from snowvalve.net.discovery import ASKED_S, SILENCE_S, TEXT_MOST, backend_number, read_list
 from tests.helpers import S, settings
 from tests.net_helpers import (
     WATCH_HEAD,
@@ -258,3 +260,95 @@
             assert waited < TOLD_S
 
     run(test)
+
+
+def changes(*entries: object, **more: object) -> str:
+    """Changes of a list that begin with a sound one: the backend s-1 is gone."""
+    sound = entry("s-1", 9, "terminated")
+    return json.dumps({**listing(rev=2, full=False), "targets": [sound, *entries], **more}) + "\n"
+
+
+def odd(**more: object) -> bytes:
+    return chunk(changes({**entry("s-2", 9), **more}))
+
+
+def boot(text: str) -> bytes:
+    return chunk(changes({**entry("s-2", 9), "boot_ms": "HERE"}).replace('"HERE"', text))
+
+
+NESTED = changes("HERE").replace('"HERE"', "[" * 100_000 + "]" * 100_000)
+SPOILT: dict[str, tuple[bytes, str]] = {
+    "no JSON": (chunk("nonsense\n"), "not JSON"),
+    "cut short": (chunk(changes()[:-4] + "}}}\n"), "not JSON"),
+    "an array": (chunk("[1,2]\n"), "field targets"),
+    "a number": (chunk("7\n"), "field targets"),
+    "no targets": (chunk('{"rev":2,"all":false}\n'), "field targets"),
+    "targets an object": (chunk('{"rev":2,"all":false,"targets":{}}\n'), "field targets"),
+    "an entry no object": (chunk(changes(5)), "field targets[1].uid"),
+    "no uid": (odd(uid=None), "field targets[1].uid"),
+    "uid a number": (odd(uid=7), "field targets[1].uid"),
+    "no state": (odd(state=None), "field targets[1].state"),
+    "an unknown state": (odd(state="odd"), "field targets[1].state"),
+    "no address": (odd(endpoint=None), "field targets[1].endpoint"),
+    "no port": (odd(endpoint="10.0.0.1"), "field targets[1].endpoint"),
+    "no host": (odd(endpoint=":80"), "field targets[1].endpoint"),
+    "port 0": (odd(endpoint="10.0.0.1:0"), "field targets[1].endpoint"),
+    "port too high": (odd(endpoint="10.0.0.1:65536"), "field targets[1].endpoint"),
+    "port without end": (odd(endpoint="10.0.0.1:" + "8" * 5000), "field targets[1].endpoint"),
+    "port in other digits": (odd(endpoint="10.0.0.1:\u0663"), "field targets[1].endpoint"),
+    "host in two words": (odd(endpoint="10.0.0.1 x:80"), "field targets[1].endpoint"),
+    "host of half a character": (odd(endpoint="\ud800:80"), "field targets[1].endpoint"),
+    "zone a number": (odd(az=5), "field targets[1].az"),
+    "group a text": (odd(pod_group="x"), "field targets[1].pod_group"),
+    "start a text": (odd(boot_ms="x"), "field targets[1].boot_ms"),
+    "start negative": (odd(boot_ms=-5), "field targets[1].boot_ms"),
+    "start in another unit": (odd(boot_ms=1_700_000_000_000_000), "field targets[1].boot_ms"),
+    "start no number": (boot("NaN"), "field targets[1].boot_ms"),
+    "start infinite": (boot("Infinity"), "field targets[1].boot_ms"),
+    "start too large": (boot("1e308"), "field targets[1].boot_ms"),
+    "start of 400 digits": (boot("1" * 400), "field targets[1].boot_ms"),
+    "start of 5000 digits": (boot("1" * 5000), "not JSON"),
+    "no rev": (chunk(changes(rev=None)), "field rev"),
+    "rev a text": (chunk(changes(rev="2")), "field rev"),
+    "rev true": (chunk(changes(rev=True)), "field rev"),
+    "rev negative": (chunk(changes(rev=-1)), "field rev"),
+    "rev of 400 digits": (chunk(changes(rev=10**400)), "field rev"),
+    "all a number": (chunk(changes(all=0)), "field all"),
+    "nested": (chunk(NESTED), "not JSON"),
+    "not UTF-8": (chunk(changes()[:-5] + '"') + b"3\r\n\xff\xfe\xfd\r\n" + chunk('"}]}\n'), "not JSON"),
+    "endless": (chunk('{"rev":"' + "x" * TEXT_MOST), "without an end"),
+    "bad chunk": (b"zz\r\nnonsense\r\n", "illegal chunk"),
+    "negative chunk": (b"-2\r\n\n\n\r\n", "illegal chunk"),
+}
+
+
+@BOTH
+@pytest.mark.parametrize(("said", "why"), SPOILT.values(), ids=SPOILT.keys())
+def test_a_spoilt_list_leaves_the_old_one_and_the_watch_is_opened_anew(
+    setup: i.Settings, said: bytes, why: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Nothing of it counts, one line names why, and what comes next is taken."""
+    both = listing(entry("s-1", 9), entry("s-2", 9), rev=1)
+
+    async def test() -> None:
+        async with watched(setup) as (d, p, clock):
+            await step(clock, lambda: len(d.calls) == 1)
+            d.calls[0].say(WATCH_HEAD + chunk_list(both))
+            await step(clock, lambda: p.driver._watch.since == 1)
+            held, up = dict(p.driver._balancer.servers), set(p.driver._up)
+            caplog.clear()
+            d.calls[0].say(said)
+            waited = await next_call(d, clock)
+            assert (p.driver._balancer.servers, p.driver._up, p.driver._watch.since) == (held, up, 1)
+            [line] = [r for r in caplog.records if r.levelno >= logging.WARNING]
+            assert why in line.getMessage() and "\n" not in line.getMessage() and not line.exc_info
+            assert waited + await served(d, p, clock, setup) < TOLD_S
+            assert set(p.driver._balancer.servers) == {backend_number("s-7")}
+
+    run(test)
+
+
+def test_a_name_of_half_a_character_spoils_no_list() -> None:
+    """JSON may hold one."""
+    text = json.dumps(listing(entry("\ud800", 9)))
+    assert list(read_list(json.loads(text)).uids) == [backend_number("\ud800")]
