Hold that what a whole list leaves out gets nothing more, though it still answers

Already kept: `_take_list` in driver.py bars whoever is not named. Its kept connection is closed, requests of three classes go elsewhere, and what it had been sent is still answered by it. A request whose connection is coming up to such a one was held before, in tests/test_discovery.py.

--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -21,13 +21,17 @@
     Proxy,
     SteppedClock,
     answer,
+    backend,
+    call,
     chunk,
     chunk_list,
     entry,
     listing,
     peer,
     proxy,
+    read_message,
     run,
+    target_list,
 )
 
 TOLD_S, TURN_S = 6.0, 2.0  # by the terms
@@ -352,3 +356,40 @@
     """JSON may hold one."""
     text = json.dumps(listing(entry("\ud800", 9)))
     assert list(read_list(json.loads(text)).uids) == [backend_number("\ud800")]
+
+
+@pytest.mark.parametrize("kind", ["read", "mark", "pay"])
+def test_what_a_whole_list_leaves_out_gets_no_more_though_it_still_answers(kind: str) -> None:
+    """Its kept connection is closed, and what it has been sent is still answered by it."""
+
+    async def test() -> None:
+        begun, go_on, closed = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                try:
+                    asked = await read_message(reader)
+                except asyncio.IncompleteReadError:
+                    closed.set()
+                    raise
+                a.seen.append(asked)
+                if asked[1]["req-id"] == "slow":
+                    begun.set()
+                    await go_on.wait()
+                writer.write(answer(200, b"a"))
+
+        async with peer(serve) as a, backend(answer(200, b"b")) as b, proxy(entry("a", a.port)) as p:
+            slow = asyncio.ensure_future(p.ask(call("pay", id="slow")))
+            await begun.wait()
+            assert (await p.ask(call("read", id="r0")))[2] == b"a"
+            assert sum(map(len, p.pool._idle.values())) == 1
+            p.driver._on_list(target_list(entry("b", b.port), rev=2))
+            await closed.wait()
+            assert not p.pool._idle
+            got = [(await p.ask(call(kind, id=f"r{n}")))[2] for n in range(1, 9)]
+            assert got == [b"b"] * 8
+            go_on.set()
+            assert (await slow)[2] == b"a"
+            assert len(a.seen) == 2 and not any(e.number == backend_number("a") for e in p.pool._idle)
+
+    run(test)
