Let the last of several entries for one backend in a list take its address away

Cause: `read_list` in discovery.py kept the address of an earlier entry where a later one of the same list says that the backend is gone. The module dropped it, the driver kept it for good.

Change: each entry starts its backend's address anew.

Result: seen to fail without the mend (driver's endpoints hold the backend that is gone); the other order passes too.

Ruled out: requests sent there: the module names it no more, and a backend that isn't up keeps no connections.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -67,7 +67,9 @@
 
 def read_list(raw: object, where: str = "") -> TargetList:
     """A list in discovery's form. Raises WireError naming the field."""
-    backends, addresses, uids = [], {}, {}
+    backends: list[i.Backend] = []
+    addresses: dict[int, Address] = {}
+    uids: dict[int, str] = {}
     for at, entry in enumerate(need(raw, "targets", list, where)):
         row = f"{where}targets[{at}]."
         uid = need(entry, "uid", str, row)
@@ -89,6 +91,7 @@
                 since_us=round(1_000 * boot_ms),
             )
         )
+        addresses.pop(number, None)  # of an earlier entry for it
         if state is not i.Condition.GONE:
             addresses[number] = read_address(need(entry, "endpoint", str, row), row + "endpoint")
     version, full = need(raw, "rev", int, where), need(raw, "all", bool, where)
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -393,3 +393,17 @@
             assert len(a.seen) == 2 and not any(e.number == backend_number("a") for e in p.pool._idle)
 
     run(test)
+
+
+@pytest.mark.parametrize("states", [("terminating", "terminated"), ("terminated", "in_service")])
+def test_of_two_entries_for_one_backend_the_later_counts(states: tuple[str, str]) -> None:
+    async def test() -> None:
+        async with backend(answer(200, b"a")) as a, proxy(entry("a", a.port)) as p:
+            news = listing(*(entry("a", a.port, state) for state in states), rev=2, full=False)
+            p.driver._on_list(read_list(news))
+            there = states[-1] == "in_service"
+            number = backend_number("a")
+            held = p.driver._balancer.servers, p.driver._endpoints, p.driver._up
+            assert [number in where for where in held] == [there] * 3
+
+    run(test)
