Start without the list as last known where that is spoilt

Cause: `Source.read` in __main__.py read `known` like the rest of the configuration, so that one spoilt entry in it kept the process from starting, and at SIGHUP kept it from following the new discovery. Nothing needs that list: discovery tells what there is.

Change: a `known` that cannot be used is dropped with a line that names the field. All else that is spoilt is still refused.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -106,13 +106,22 @@
                 sockets=sockets,
                 connect_timeout_s=connect_timeout_us / 1e6,
                 idle_s=idle_us / 1e6,
-                known=read_list(named["known"], "known.") if named.get("known") else None,
+                known=read_known(named.get("known")),
                 settings=read_settings(settings),
             )
         except WireError as error:
             raise ConfigError(str(error)) from None
 
 
+def read_known(raw: object) -> TargetList | None:
+    """The list as last known. Guards the start against a spoilt one: discovery tells what there is."""
+    try:
+        return read_list(raw, "known.") if raw else None
+    except WireError as error:
+        log.warning("the list as last known cannot be used: %s", error)
+        return None
+
+
 def read_seed(seed: str | int) -> int:
     try:
         return int(seed, 16) if isinstance(seed, str) else seed
