Listen after 2.5 s at the latest, and hold when a restarted proxy is ready

Cause: `attend` in __main__.py waited for discovery's first word with no end of its own. A watch that stands and beats but brings no list neither tells nor breaks, so the proxy never listened, although it had an old list.

Change: the wait ends after 2.5 s, the longest time that a call for the list may take.

Ruled out: harm by listening without a list: `/ready` says 503 until there is a backend.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from snowvalve import interface as i
-from snowvalve.net.discovery import TargetList, read_address, read_list
+from snowvalve.net.discovery import ASKED_S, TargetList, read_address, read_list
 from snowvalve.net.driver import Driver
 from snowvalve.net.frontend import Frontend
 from snowvalve.net.upstream import Address, Pool
@@ -153,10 +153,10 @@
         self._config = replace(self._config, discovery=new.discovery)
 
 
-async def first_of(*events: asyncio.Event) -> None:
-    """Waits until one of these is set."""
+async def first_of(*events: asyncio.Event, most_s: float) -> None:
+    """Waits until one of these is set, or for that long."""
     waits = [asyncio.create_task(event.wait()) for event in events]
-    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait(waits, timeout=most_s, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
         wait.cancel()
 
@@ -193,7 +193,8 @@
     gc.collect()
     gc.freeze()  # what lives for good is not looked through again: shorter pauses
     # What discovery's agent has counts as told from our first moment on, and what was known may be old.
-    await first_of(driver.informed, stop)
+    # Guards against a watch that stands and brings no list: nothing would ever end the wait.
+    await first_of(driver.informed, stop, most_s=ASKED_S)
     if stop.is_set():
         return
     where = frontend.listen(config.listen)
