End cleanly on SIGTERM before the event loop runs, and hold that a killed proxy comes again

Cause: `main` in __main__.py left SIGTERM and SIGINT to the system until `attend` put its handlers in place. While the configuration is read the process was ended by the signal, code -15.

Change: from the first line of `main` on, either signal ends the process with code 0. Nothing has been taken by then.

Result: SIGTERM forced while the configuration is read (a pipe that nobody writes to), while discovery is waited for, when ready, and with a request out: each ends with code 0; the first seen to fail without the mend. SIGKILL at the same stages and right at the start: the next one, under the same name and address, binds and serves. The stage with a request out seen to fail with a listener that does not reuse its address. Three processes with an old list, none and a spoilt one, discovery silent and then back, get ready together.

Tests' ports now begin at another place in each process: tests side by side met at the same one.

Ruled out: the time before `main`, when modules are loaded: the system's own end is all there is, and it is one.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -12,6 +12,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
+from types import FrameType
+from typing import NoReturn
 
 from snowvalve import interface as i
 from snowvalve.net.discovery import ASKED_S, TargetList, read_address, read_list
@@ -219,7 +221,13 @@
     driver.close()
 
 
+def end_at_once(number: int, frame: FrameType | None) -> NoReturn:
+    sys.exit(0)
+
+
 def main() -> int:
+    for number in ENDING:  # nothing has been taken yet; `attend` puts its own handlers in the place of these
+        signal.signal(number, end_at_once)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         source = Source(os.environ)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -301,9 +302,13 @@
     run(test)
 
 
+# Another place to begin in each process, so that tests which run side by side don't meet.
+PORTS = itertools.cycle(range(20_000 + os.getpid() * 37 % 10_000, 32_000))
+
+
 def free_port() -> int:
-    """One that the system gives nobody by itself, so that it stays free."""
-    for port in range(20_000, 30_000):
+    """Another one each time, which the system gives nobody by itself, so that it stays free."""
+    for port in itertools.islice(PORTS, 12_000):
         with socket.socket() as free, contextlib.suppress(OSError):
             free.bind(("127.0.0.1", port))
             return port
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -24,11 +25,12 @@
     chunk_list,
     entry,
     listing,
+    peer,
     read_message,
     run,
 )
 from tests.test_benchlink import raw_settings
-from tests.test_process import LIMITS, config, free_port, write
+from tests.test_process import LIMITS, config, free_port, process, write
 
 READY_S = 10.0  # by the terms, for nine in ten
 STEP_S = 0.05
@@ -207,3 +209,114 @@
                 assert await step_until_ready(clock, port, READY_S) <= 4.5
 
     run(test)
+
+
+async def served_by(port: int) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(call())
+    try:
+        return (await read_message(reader))[2]
+    finally:
+        writer.close()
+
+
+async def until_ready(made: asyncio.subprocess.Process, port: int) -> None:
+    """Until the front would take it in; the test's own patience is the terms' 10 s."""
+    while not await ready(port):
+        assert made.returncode is None, "it ended"
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"], ids=["asked", "pushed"])
+def test_processes_with_an_old_list_none_and_a_spoilt_one_get_ready_together(
+    tmp_path: Path, mode: str
+) -> None:
+    """Discovery is silent at first; those without a list wait for it, the others don't."""
+
+    async def test() -> None:
+        async with moody("silent") as d, backend(answer(200, b"x")) as b, AsyncExitStack() as stack:
+            news = listing(entry("a", b.port), rev=2)
+            made: list[asyncio.subprocess.Process] = []
+            ports = [free_port() for _ in range(3)]
+            for n, known in enumerate((listing(entry("a", b.port)), None, SPOILT["an odd address"][0])):
+                folder = tmp_path / str(n)
+                folder.mkdir()
+                env = write(folder, {**told(mode, d.port, known), "listen": f"127.0.0.1:{ports[n]}"})
+                made.append(await stack.enter_async_context(process(env)))
+            await until_ready(made[0], ports[0])
+            assert not await ready(ports[1]) and not await ready(ports[2])
+            await d.come_back(news)
+            for n in (1, 2):
+                await until_ready(made[n], ports[n])
+            assert [await served_by(port) for port in ports] == [b"x"] * 3
+
+    run(test)
+
+
+STAGES = ["just begun", "reading its configuration", "waiting for discovery", "ready", "serving"]
+
+
+async def until_read(path: Path) -> int:
+    """The writing end of a pipe, once somebody has it open for reading."""
+    while True:
+        with contextlib.suppress(OSError):
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("stage", STAGES)
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM], ids=["SIGKILL", "SIGTERM"])
+def test_ended_at_any_stage_of_its_start_it_comes_again_under_its_name_and_address(
+    tmp_path: Path, stage: str, number: signal.Signals
+) -> None:
+    """SIGTERM ends it with no error; the next one binds and serves though clients hold connections."""
+
+    async def test() -> None:
+        asked, begun, go_on = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            if stage == "waiting for discovery":
+                await go_on.wait()
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("a", b.port), rev=2)))
+            await reader.read()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                _, headers, _ = await read_message(reader)
+                if headers["req-id"] == "slow":
+                    begun.set()
+                    await go_on.wait()
+                writer.write(answer(200, b"x"))
+
+        async with peer(slow) as b, peer(hold) as d:
+            port = free_port()
+            env = write(tmp_path, {**told("automatic", d.port, None), "listen": f"127.0.0.1:{port}"})
+            pipe = tmp_path / "pipe"
+            os.mkfifo(pipe)
+            reading = stage == "reading its configuration"
+            async with process({"NODE_CONFIG": str(pipe)} if reading else env) as first:
+                end = await until_read(pipe) if reading else None
+                if stage not in ("just begun", "reading its configuration"):
+                    await asked.wait()
+                if stage in ("ready", "serving"):
+                    await until_ready(first, port)
+                if stage == "serving":
+                    _, writer = await asyncio.open_connection("127.0.0.1", port)
+                    writer.write(call(id="slow"))
+                    await begun.wait()
+                first.send_signal(number)
+                if number is signal.SIGTERM and stage == "serving":
+                    go_on.set()
+                code = await first.wait()
+                if end is not None:
+                    os.close(end)
+                # Before its first line has run the system's own end is the only one.
+                assert code in ((0, -number) if stage == "just begun" else (0,)) or number is signal.SIGKILL
+                go_on.set()
+                async with process(env) as second:
+                    await until_ready(second, port)
+                    assert await served_by(port) == b"x"
+
+    run(test)
