Hold the waits between calls for the list: apart from each other, and in time after a move

A call that stood long is followed up after a first wait, calls refused at once keep the grown spacing, and balancers whose calls end together ask again apart, also later. After a move with the old discovery down, a first call that is refused at once or in its turn, silent, or stops in a line is made good within 4 s.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from snowvalve import interface as i
-from snowvalve.decide import BACKOFF_JITTER, BACKOFF_SHARE
+from snowvalve.decide import BACKOFF_JITTER, BACKOFF_MOST_US, BACKOFF_SHARE, BACKOFF_US
 from tests.helpers import MS, Hand, S, only, settings
 
 ASKING = settings(must_subscribe=True)
@@ -27,6 +29,37 @@
     assert min(waits[3:]) >= waits[1] * (1 - BACKOFF_JITTER)
 
 
+def asked_again(hand: Hand, stood_us: int) -> int:
+    """The wait after the end of a call that has stood for this long."""
+    hand.now += stood_us
+    [timer] = only(hand.event(i.ListNews(i.ListForm.FAILED)), i.SetTimer)
+    at = hand.now
+    hand.pass_time(timer.at_us - at)
+    return hand.now - at
+
+
+def test_a_call_that_stood_long_is_followed_up_after_a_first_wait_and_quick_ones_stay_apart() -> None:
+    """So that neither a queue nor refusals keep news back, and a discovery just back is not stormed."""
+    for seed in range(20):
+        hand = Hand(ASKING, seed=seed)
+        for _ in range(6):
+            asked_again(hand, 0)
+        least = 1.0 - BACKOFF_JITTER
+        assert least * BACKOFF_US <= asked_again(hand, 2_500 * MS) <= BACKOFF_US
+        assert least * BACKOFF_MOST_US <= asked_again(hand, 0) <= BACKOFF_MOST_US
+
+
+@pytest.mark.parametrize("stood_us", [0, 1 * S, 2_500 * MS])
+def test_balancers_whose_calls_end_together_ask_again_apart_also_later(stood_us: int) -> None:
+    waits = []
+    for seed in range(20):
+        hand = Hand(ASKING, seed=seed)
+        for _ in range(6):
+            asked_again(hand, 0)
+        waits.append(asked_again(hand, stood_us))
+    assert len(set(waits)) > 10 and max(waits) - min(waits) > BACKOFF_JITTER * BACKOFF_US / 2
+
+
 def test_where_lists_are_pushed_a_broken_watch_is_opened_at_once_and_then_ten_times_a_second() -> None:
     """What discovery's agent has counts as told whether or not a watch is open, and asking it is free."""
     hand, waits = Hand(), []
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -6,7 +6,7 @@
 import json
 import logging
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -407,3 +407,38 @@
             assert [number in where for where in held] == [there] * 3
 
     run(test)
+
+
+MOVED_S = 4.0  # by the terms, after SIGHUP
+
+
+@pytest.mark.parametrize("first", ["refused in its turn", "refused at once", "silent", "half a line"])
+@BOTH
+def test_a_watch_moved_while_the_old_discovery_is_down_is_made_good_in_time(
+    setup: i.Settings, first: str
+) -> None:
+    """The waits have grown on the old address; the first call on the new one fails as well."""
+
+    async def test() -> None:
+        async with watched(setup) as (d, p, clock), AsyncExitStack() as stack:
+            new = Discovery(clock)
+            e = await stack.enter_async_context(peer(new.handle))
+            await after_failures(d, clock, FAILURES["refused"])
+            p.driver.move_discovery(("127.0.0.1", e.port))
+            waited = await next_call(new, clock)
+            call = new.calls[-1]
+            if first == "refused in its turn" and setup is ASKED:
+                waited += await step(clock, lambda: call.over.is_set(), TURN_S)
+            if first.startswith("refused"):
+                FAILURES["refused"](call)
+            elif first == "half a line":
+                call.say(STOPS["half a line"])
+            waited += await next_call(new, clock)
+            new.calls[-1].say(WATCH_HEAD + list_of(7))
+            # Behind a call that was refused, the next one may still have to wait for its turn.
+            left = 0.0 if setup is PUSHED or not first.startswith("refused") else 1.0
+            waited += left + await step(clock, lambda: p.driver._watch.since == 7, 1.0)
+            assert p.driver._watch.since == 7 and waited < MOVED_S
+            assert len(d.calls) == 6  # nothing more on the old one
+
+    run(test)
