Leave a list that is nested too deep at its first braces

Cause: `Texts.take` in discovery.py looks at each brace by itself. A text of 4 MiB of open brackets took 6.8 s of the processor before it was left as a list without an end, and the watch is opened anew at once where lists are pushed. One that closes its brackets went on to the JSON reader, which raised RecursionError.

Change: more than 64 braces and brackets within each other end the watch there. A list has three.

Ruled out: long lists: 4 MiB without an end are still the limit, and each call has its limit of time.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -25,6 +25,7 @@
 PUSHED_S = 1.0
 ASKED_S = 2.5
 TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
+DEPTH_MOST = 64  # braces and brackets within each other; guards the processor, as each is looked at by itself
 BOOT_MOST_MS = 10**14  # guards against a start in another unit, which would leave its backend cold for good
 STATES = {
     "in_service": i.Condition.UP,
@@ -124,6 +125,8 @@
                     self._in_string = not self._in_string
                 case b"{" | b"[":
                     self._depth += 1
+                    if self._depth > DEPTH_MOST:
+                        raise WatchBroken("a list nested too deep")
                 case b"}" | b"]":
                     self._depth -= 1
                     if self._depth <= 0:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from snowvalve import interface as i
-from snowvalve.net.discovery import TargetList, Watch, backend_number, read_list
+from snowvalve.net.discovery import TargetList, Texts, Watch, WatchBroken, backend_number, read_list
 from snowvalve.settings import WireError
 from tests.helpers import settings
 from tests.net_helpers import (
@@ -192,6 +192,14 @@
     run(test)
 
 
+def test_a_list_nested_without_end_is_left_at_once() -> None:
+    """Each brace is looked at by itself: megabytes of them, again and again, would leave no time."""
+    texts = Texts()
+    with pytest.raises(WatchBroken, match="nested"):
+        list(texts.take(b"[" * 1_000_000))
+    assert texts._seen <= 100
+
+
 async def step_until(clock: SteppedClock, holds: Callable[[], bool]) -> None:
     """Moves the clock on in small steps, each with time for what it sets off."""
     while not holds():
