Count a list as held only once it has been taken over

Cause: `Watch._take` in discovery.py set the version it holds before it handed the list over. A fault in taking it over ended the watch, and the next one asked from that list on: what it told was never told again.

Change: the version is set behind that.

Result: forced with a taking over that raises once: the next call asks for the whole list again; seen to fail without the mend. No list is known that makes it raise; this guards against one.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -226,5 +226,6 @@
             news = read_list(json.loads(text))
         except (ValueError, RecursionError) as error:
             raise WatchBroken(f"not JSON: {error}") from None
-        self.since = news.version
         self._on_list(news)
+        # Only now: guards against a list that was not taken over and would never come again.
+        self.since = news.version
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -192,6 +192,32 @@
     run(test)
 
 
+def test_a_list_that_was_not_taken_over_is_asked_for_again() -> None:
+    asked: list[str] = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        asked.append(await ask(reader))
+        writer.write(WATCH_HEAD + chunk_list(listing(entry("s-1", 9), rev=41)))
+        await reader.read()
+
+    async def test() -> None:
+        def fail(news: TargetList) -> None:
+            raise RuntimeError("not taken over")
+
+        async with peer(handle) as d:
+            w = Watched(d)
+            w.watch._on_list = fail
+            assert await w.news.get() is None and w.watch.since is None
+            w.watch._on_list = w.news.put_nowait
+            w.watch.start()
+            again = await w.news.get()
+            assert again and again.version == w.watch.since == 41
+            assert asked == ["GET /v1/endpoints?follow=1 HTTP/1.1"] * 2
+            w.watch.close()
+
+    run(test)
+
+
 def test_a_list_nested_without_end_is_left_at_once() -> None:
     """Each brace is looked at by itself: megabytes of them, again and again, would leave no time."""
     texts = Texts()
