--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -12,9 +12,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
+from types import FrameType
+from typing import NoReturn
 
 from snowvalve import interface as i
-from snowvalve.net.discovery import TargetList, read_address, read_list
+from snowvalve.net.discovery import ASKED_S, TargetList, read_address, read_list
 from snowvalve.net.driver import Driver
 from snowvalve.net.frontend import Frontend
 from snowvalve.net.upstream import Address, Pool
@@ -86,24 +88,47 @@
         """The configuration as the file now has it. Raises ConfigError."""
         named = {**self._load(), **self._overrides}
         try:
-            seed = need(named, "seed", (str, int))
             settings = need(named, "settings", dict)
             limits = need(settings, "limits", dict, "settings.")
+            connect_timeout_us = need(limits, "connectTimeoutUs", int, "settings.limits.")
+            idle_us = need(limits, "connIdleUs", int, "settings.limits.")
+            sockets = optional(optional(named, "limits", {}), "sockets", 1024, "limits.")
+            for field, value, least in (
+                ("settings.limits.connectTimeoutUs", connect_timeout_us, 1),
+                ("settings.limits.connIdleUs", idle_us, 0),
+                ("limits.sockets", sockets, 1),
+            ):
+                if value < least:
+                    raise WireError(f"field {field} is below {least}: {value}")
             return Config(
                 name=need(named, "name", str),
-                listen=read_address(need(named, "listen", str), "listen"),
+                listen=read_address(need(named, "listen", str), "listen", least_port=0),
                 discovery=read_address(need(named, "discovery", str), "discovery"),
-                seed=int(seed, 16) if isinstance(seed, str) else seed,
-                sockets=optional(optional(named, "limits", {}), "sockets", 1024, "limits."),
-                connect_timeout_s=need(limits, "connectTimeoutUs", int, "settings.limits.") / 1e6,
-                idle_s=need(limits, "connIdleUs", int, "settings.limits.") / 1e6,
-                known=read_list(named["known"], "known.") if named.get("known") else None,
+                seed=read_seed(need(named, "seed", (str, int))),
+                sockets=sockets,
+                connect_timeout_s=connect_timeout_us / 1e6,
+                idle_s=idle_us / 1e6,
+                known=read_known(named.get("known")),
                 settings=read_settings(settings),
             )
         except WireError as error:
             raise ConfigError(str(error)) from None
-        except ValueError:
-            raise ConfigError("field seed is not a hexadecimal number") from None
+
+
+def read_known(raw: object) -> TargetList | None:
+    """The list as last known. Guards the start against a spoilt one: discovery tells what there is."""
+    try:
+        return read_list(raw, "known.") if raw else None
+    except WireError as error:
+        log.warning("the list as last known cannot be used: %s", error)
+        return None
+
+
+def read_seed(seed: str | int) -> int:
+    try:
+        return int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise WireError(f"field seed is not a hexadecimal number: {seed!r:.60}") from None
 
 
 class Reloader:
@@ -130,10 +155,10 @@
         self._config = replace(self._config, discovery=new.discovery)
 
 
-async def first_of(*events: asyncio.Event) -> None:
-    """Waits until one of these is set."""
+async def first_of(*events: asyncio.Event, most_s: float) -> None:
+    """Waits until one of these is set, or for that long."""
     waits = [asyncio.create_task(event.wait()) for event in events]
-    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait(waits, timeout=most_s, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
         wait.cancel()
 
@@ -170,7 +195,8 @@
     gc.collect()
     gc.freeze()  # what lives for good is not looked through again: shorter pauses
     # What discovery's agent has counts as told from our first moment on, and what was known may be old.
-    await first_of(driver.informed, stop)
+    # Guards against a watch that stands and brings no list: nothing would ever end the wait.
+    await first_of(driver.informed, stop, most_s=ASKED_S)
     if stop.is_set():
         return
     where = frontend.listen(config.listen)
@@ -195,7 +221,13 @@
     driver.close()
 
 
+def end_at_once(number: int, frame: FrameType | None) -> NoReturn:
+    sys.exit(0)
+
+
 def main() -> int:
+    for number in ENDING:  # nothing has been taken yet; `attend` puts its own handlers in the place of these
+        signal.signal(number, end_at_once)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         source = Source(os.environ)
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,322 @@
+"""A restarted process is ready soon, whatever discovery does and whatever list it was given."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from snowvalve.__main__ import Source, attend
+from tests.net_helpers import (
+    WATCH_HEAD,
+    SteppedClock,
+    answer,
+    backend,
+    call,
+    chunk,
+    chunk_list,
+    entry,
+    listing,
+    peer,
+    read_message,
+    run,
+)
+from tests.test_benchlink import raw_settings
+from tests.test_process import LIMITS, config, free_port, process, write
+
+READY_S = 10.0  # by the terms, for nine in ten
+STEP_S = 0.05
+TURNS = 40  # of the event loop between two steps
+
+SPOILT: dict[str, tuple[object, str]] = {
+    "a number": (5, "known.targets"),
+    "a text": ("list", "known.targets"),
+    "no targets": ({"rev": 1, "all": True}, "known.targets"),
+    "an entry without a uid": ({"rev": 1, "all": True, "targets": [{}]}, "known.targets[0].uid"),
+    "an odd state": (listing(entry("a", 9, "odd")), "known.targets[0].state"),
+    "an odd address": (listing(entry("a", 0)), "known.targets[0].endpoint"),
+    "a start that cannot be": (listing(entry("a", 9, boot_ms=1e300)), "known.targets[0].boot_ms"),
+    "a rev that cannot be": ({**listing(entry("a", 9)), "rev": 10**400}, "known.rev"),
+}
+
+
+@pytest.mark.parametrize(("known", "named"), SPOILT.values(), ids=SPOILT.keys())
+def test_a_spoilt_list_in_the_configuration_is_dropped_with_a_line_that_names_the_field(
+    tmp_path: Path, known: object, named: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    told = Source(write(tmp_path, config(known=known))).read()
+    assert told.known is None and told.discovery == ("127.0.0.1", 1)
+    [line] = caplog.records
+    assert f"field {named}" in line.getMessage() and not line.exc_info
+
+
+class Moody:
+    """Discovery that is down in one of several ways, and may come back."""
+
+    def __init__(self, mood: str) -> None:
+        self.mood, self.news = mood, b""
+        self.port = free_port()
+        self.taken: list[socket.socket] = []
+        self.server: asyncio.Server | None = None
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if self.mood == "answers":
+            writer.write(WATCH_HEAD + self.news)
+        elif self.mood == "refuses":
+            writer.write(answer(503))
+        elif self.mood == "only beats":
+            writer.write(WATCH_HEAD)
+            while self.mood == "only beats":
+                writer.write(chunk("\n"))
+                await asyncio.sleep(1.0)
+            writer.write(self.news)
+        elif self.mood == "says half":
+            writer.write(WATCH_HEAD + chunk('{"rev":'))
+        await reader.read()
+
+    async def start(self) -> None:
+        if self.mood == "unreachable":  # its queue is full: what comes is dropped
+            listener = socket.create_server(("127.0.0.1", self.port), backlog=0)
+            self.taken.append(listener)
+            for _ in range(4):
+                made = socket.socket()
+                made.setblocking(False)
+                made.connect_ex(("127.0.0.1", self.port))
+                self.taken.append(made)
+        elif self.mood == "not there":
+            held = socket.socket()  # the address is taken, and nobody listens
+            held.bind(("127.0.0.1", self.port))
+            self.taken.append(held)
+        else:
+            self.server = await asyncio.start_server(self.handle, "127.0.0.1", self.port)
+
+    async def come_back(self, news: dict[str, object]) -> None:
+        for made in self.taken:
+            made.close()
+        self.taken.clear()
+        self.mood, self.news = "answers", chunk_list(news)
+        if self.server is None:
+            await self.start()
+
+    def stop(self) -> None:
+        for made in self.taken:
+            made.close()
+        if self.server is not None:
+            self.server.close()
+
+
+@asynccontextmanager
+async def moody(mood: str) -> AsyncIterator[Moody]:
+    made = Moody(mood)
+    await made.start()
+    try:
+        yield made
+    finally:
+        made.stop()
+
+
+async def ready(port: int) -> bool:
+    """What the front sees."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionRefusedError:
+        return False
+    try:
+        writer.write(call(path="/ready"))
+        return (await read_message(reader))[0].split()[1] == "200"
+    finally:
+        writer.close()
+
+
+async def step_until_ready(clock: SteppedClock, port: int, most_s: float) -> float:
+    began = clock.ahead
+    while clock.ahead - began < most_s and not await ready(port):
+        clock.step(STEP_S)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+    return clock.ahead - began
+
+
+@asynccontextmanager
+async def attended(folder: Path, port: int, told: dict[str, Any]) -> AsyncIterator[SteppedClock]:
+    """A proxy in this process, as it starts, on a stepped clock."""
+    source = Source(write(folder, {**told, "listen": f"127.0.0.1:{port}"}))
+    clock = SteppedClock()
+    attending = asyncio.ensure_future(attend(source.read(), source))
+    await asyncio.sleep(0)
+    try:
+        yield clock
+    finally:
+        os.kill(os.getpid(), signal.SIGTERM)
+        while not attending.done():
+            clock.step(STEP_S)
+            await asyncio.sleep(0)
+        await attending
+
+
+def told(mode: str, discovery: int, known: object) -> dict[str, Any]:
+    return config(
+        discovery=f"127.0.0.1:{discovery}",
+        known=known,
+        settings=raw_settings(limits=LIMITS, registryMode=mode),
+    )
+
+
+MODES = pytest.mark.parametrize("mode", ["subscribe", "automatic"], ids=["asked", "pushed"])
+MOODS = pytest.mark.parametrize(
+    "mood", ["silent", "refuses", "not there", "unreachable", "only beats", "says half"]
+)
+
+
+@MODES
+@MOODS
+def test_with_an_old_list_it_is_ready_though_discovery_is_down(tmp_path: Path, mode: str, mood: str) -> None:
+    """Where lists are pushed it first waits for discovery's word, as that counts from the first moment on."""
+
+    async def test() -> None:
+        async with moody(mood) as d, backend(answer(200, b"x")) as b:
+            port = free_port()
+            async with attended(tmp_path, port, told(mode, d.port, listing(entry("a", b.port)))) as clock:
+                took = await step_until_ready(clock, port, READY_S)
+                assert took <= (0.2 if mode == "subscribe" else 2.8 if mood == "only beats" else 1.3)
+
+    run(test)
+
+
+@MODES
+@MOODS
+@pytest.mark.parametrize("known", [None, SPOILT["an odd state"][0]], ids=["none", "spoilt"])
+def test_with_no_list_it_is_ready_soon_after_discovery_is_back(
+    tmp_path: Path, mode: str, mood: str, known: object
+) -> None:
+    """A call that hangs may be given up first, and a wait follows; the last call failed just before."""
+
+    async def test() -> None:
+        async with moody(mood) as d, backend(answer(200, b"x")) as b:
+            port = free_port()
+            async with attended(tmp_path, port, told(mode, d.port, known)) as clock:
+                assert await step_until_ready(clock, port, 15.0) >= 15.0 - STEP_S  # nothing to send to
+                await d.come_back(listing(entry("a", b.port)))
+                assert await step_until_ready(clock, port, READY_S) <= 4.5
+
+    run(test)
+
+
+async def served_by(port: int) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(call())
+    try:
+        return (await read_message(reader))[2]
+    finally:
+        writer.close()
+
+
+async def until_ready(made: asyncio.subprocess.Process, port: int) -> None:
+    """Until the front would take it in; the test's own patience is the terms' 10 s."""
+    while not await ready(port):
+        assert made.returncode is None, "it ended"
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"], ids=["asked", "pushed"])
+def test_processes_with_an_old_list_none_and_a_spoilt_one_get_ready_together(
+    tmp_path: Path, mode: str
+) -> None:
+    """Discovery is silent at first; those without a list wait for it, the others don't."""
+
+    async def test() -> None:
+        async with moody("silent") as d, backend(answer(200, b"x")) as b, AsyncExitStack() as stack:
+            news = listing(entry("a", b.port), rev=2)
+            made: list[asyncio.subprocess.Process] = []
+            ports = [free_port() for _ in range(3)]
+            for n, known in enumerate((listing(entry("a", b.port)), None, SPOILT["an odd address"][0])):
+                folder = tmp_path / str(n)
+                folder.mkdir()
+                env = write(folder, {**told(mode, d.port, known), "listen": f"127.0.0.1:{ports[n]}"})
+                made.append(await stack.enter_async_context(process(env)))
+            await until_ready(made[0], ports[0])
+            assert not await ready(ports[1]) and not await ready(ports[2])
+            await d.come_back(news)
+            for n in (1, 2):
+                await until_ready(made[n], ports[n])
+            assert [await served_by(port) for port in ports] == [b"x"] * 3
+
+    run(test)
+
+
+STAGES = ["just begun", "reading its configuration", "waiting for discovery", "ready", "serving"]
+
+
+async def until_read(path: Path) -> int:
+    """The writing end of a pipe, once somebody has it open for reading."""
+    while True:
+        with contextlib.suppress(OSError):
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("stage", STAGES)
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM], ids=["SIGKILL", "SIGTERM"])
+def test_ended_at_any_stage_of_its_start_it_comes_again_under_its_name_and_address(
+    tmp_path: Path, stage: str, number: signal.Signals
+) -> None:
+    """SIGTERM ends it with no error; the next one binds and serves though clients hold connections."""
+
+    async def test() -> None:
+        asked, begun, go_on = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            if stage == "waiting for discovery":
+                await go_on.wait()
+            writer.write(WATCH_HEAD + chunk_list(listing(entry("a", b.port), rev=2)))
+            await reader.read()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                _, headers, _ = await read_message(reader)
+                if headers["req-id"] == "slow":
+                    begun.set()
+                    await go_on.wait()
+                writer.write(answer(200, b"x"))
+
+        async with peer(slow) as b, peer(hold) as d:
+            port = free_port()
+            env = write(tmp_path, {**told("automatic", d.port, None), "listen": f"127.0.0.1:{port}"})
+            pipe = tmp_path / "pipe"
+            os.mkfifo(pipe)
+            reading = stage == "reading its configuration"
+            async with process({"NODE_CONFIG": str(pipe)} if reading else env) as first:
+                end = await until_read(pipe) if reading else None
+                if stage not in ("just begun", "reading its configuration"):
+                    await asked.wait()
+                if stage in ("ready", "serving"):
+                    await until_ready(first, port)
+                if stage == "serving":
+                    _, writer = await asyncio.open_connection("127.0.0.1", port)
+                    writer.write(call(id="slow"))
+                    await begun.wait()
+                first.send_signal(number)
+                if number is signal.SIGTERM and stage == "serving":
+                    go_on.set()
+                code = await first.wait()
+                if end is not None:
+                    os.close(end)
+                # Before its first line has run the system's own end is the only one.
+                assert code in ((0, -number) if stage == "just begun" else (0,)) or number is signal.SIGKILL
+                go_on.set()
+                async with process(env) as second:
+                    await until_ready(second, port)
+                    assert await served_by(port) == b"x"
+
+    run(test)
