Serve an answer without a length once its connection has properly ended

Cause: Connection._take_head called each answer with neither Content-Length nor chunks spoilt ("no length"), as it could have been cut anywhere. HTTP/1.1 allows it: such a body ends with the connection.

Change: the check goes. eof_received hands h11 the end, which makes such a body whole; connection_lost never does, so a reset ends the attempt as one that may have run, be it after the last byte. h11 leaves such a connection in MUST_CLOSE or CLOSED, so it is not kept. BODY_MOST (Connection._next) and WHOLE_S (Connection._read) hold for it as for any other.

Ruled out: an end that is none. A reset shows as ECONNRESET, both behind bytes that are still unread and after they were read (forced at each byte of head and body). An end and then a reset: all bytes had come before the end, so the answer is whole, and Linux reports the end.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -235,7 +235,9 @@
 
     def eof_received(self) -> None:
         self._doubt()
-        self._read(b"")  # an answer without a length ends here; any other is broken
+        # An answer without a length ends here, and only here: bytes come in order, so one that was reset has
+        # no end, be it after its last byte. Any other answer is broken.
+        self._read(b"")
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.closed(self)
@@ -310,9 +312,6 @@
         length = fields.get(b"content-length")
         if length is not None and (len(length) > 18 or int(length) > BODY_MOST):
             raise Spoilt("too long")
-        # One that ends with the connection could have been cut anywhere, or be noise.
-        if length is None and b"transfer-encoding" not in fields and head.status_code not in (204, 304):
-            raise Spoilt("no length")
         self._head = head
 
     def _whole(self) -> None:
--- /dev/null
+++ b/tests/test_terms_backends.py
@@ -0,0 +1,320 @@
+"""Backends that misbehave, on bare sockets: how an attempt ends, and what follows through the whole proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from snowvalve.interface import Outcome
+from snowvalve.net import upstream
+from snowvalve.net.upstream import Endpoint, Outgoing, Pool, Reply
+from tests.net_helpers import SteppedClock, call, entry, proxy, run, until
+
+REQUEST = Outgoing(
+    b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
+)
+ONCE = replace(REQUEST, repeatable=False)
+HEAD = b"HTTP/1.1 200 x\r\n\r\n"  # of an answer that says nothing of its length
+OK = Reply(200, [(b"content-length", b"2")], b"ok")
+
+Message = tuple[str, dict[str, str], bytes]
+
+
+class Wire:
+    """A backend's end of one connection: what it does is with the system before the call returns."""
+
+    def __init__(self, accepted: socket.socket) -> None:
+        self.socket = accepted
+        self.read = b""
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def say(self, said: bytes) -> None:
+        self.socket.sendall(said)
+
+    def end(self) -> None:
+        """A proper end of what it has to say."""
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+    @property
+    def closed(self) -> bool:
+        return self.socket.fileno() < 0
+
+    async def more(self) -> bool:
+        """Reads on; false at the other side's end, or ours."""
+        if self.closed:
+            return False
+        try:
+            data = await asyncio.get_running_loop().sock_recv(self.socket, 65_536)
+        except OSError:
+            return False
+        self.read += data
+        return bool(data)
+
+    async def request(self) -> Message | None:
+        """The next request, once it has come whole; none at the end."""
+        while b"\r\n\r\n" not in self.read:
+            if not await self.more():
+                return None
+        text, _, rest = self.read.partition(b"\r\n\r\n")
+        first, *lines = text.decode().split("\r\n")
+        headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
+        length = int(headers.get("content-length", 0))
+        while len(rest) < length:
+            self.read = b""
+            if not await self.more():
+                return None
+            rest += self.read
+        self.read = rest[length:]
+        return first, headers, rest[:length]
+
+
+class Bare:
+    """A backend. Its handler gets each request with the connection that it came on."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.socket.setblocking(False)
+        self.port: int = self.socket.getsockname()[1]
+        self.endpoint = Endpoint(1, ("127.0.0.1", self.port))
+        self.wires: list[Wire] = []
+        self.seen: list[Message] = []
+
+    @property
+    def ids(self) -> list[str]:
+        return [headers["req-id"] for _, headers, _ in self.seen]
+
+
+Handle = Callable[[Wire, Message], Awaitable[None]]
+
+
+@asynccontextmanager
+async def bare(handle: Handle) -> AsyncIterator[Bare]:
+    made, loop = Bare(), asyncio.get_running_loop()
+    tasks: list[asyncio.Task[None]] = []
+
+    async def serve(wire: Wire) -> None:
+        while (got := await wire.request()) is not None:
+            made.seen.append(got)
+            await handle(wire, got)
+
+    async def accept() -> None:
+        while True:
+            accepted, _ = await loop.sock_accept(made.socket)
+            made.wires.append(Wire(accepted))
+            tasks.append(loop.create_task(serve(made.wires[-1])))
+
+    tasks.append(loop.create_task(accept()))
+    try:
+        yield made
+    finally:
+        failed = [t.exception() for t in tasks if t.done() and not t.cancelled()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for closing in (made.socket, *(w.socket for w in made.wires)):
+            closing.close()
+        for fault in filter(None, failed):
+            raise fault
+
+
+def says(*steps: bytes | str) -> Handle:
+    """A backend that says and does this at each request, all in one turn: "end", "reset"."""
+
+    async def handle(wire: Wire, got: Message) -> None:
+        for step in steps:
+            if isinstance(step, bytes):
+                wire.say(step)
+            else:
+                {"end": wire.end, "reset": wire.reset}[step]()
+
+    return handle
+
+
+class Out:
+    """An attempt and how it ended."""
+
+    def __init__(
+        self, pool: Pool, endpoint: Endpoint, request: Outgoing = REQUEST, timeout_s: float = 60.0
+    ) -> None:
+        self.ends: list[tuple[Outcome, Reply | None]] = []
+        pool.welcome(endpoint)
+        self.attempt = pool.attempt(endpoint, request, timeout_s, lambda *how: self.ends.append(how))
+
+    async def end(self) -> tuple[Outcome, Reply | None]:
+        await until(lambda: bool(self.ends))
+        for _ in range(5):  # whatever would follow
+            await asyncio.sleep(0)
+        [end] = self.ends
+        return end
+
+
+@pytest.fixture
+def read(monkeypatch: pytest.MonkeyPatch) -> bytearray:
+    """All that has been read from backends."""
+    come = bytearray()
+    received = upstream.Connection.data_received
+
+    def data_received(connection: upstream.Connection, data: bytes) -> None:
+        come.extend(data)
+        received(connection, data)
+
+    monkeypatch.setattr(upstream.Connection, "data_received", data_received)
+    return come
+
+
+# Answers without a length
+
+
+@pytest.mark.parametrize("then", [("end",), ("end", "reset")])
+@pytest.mark.parametrize(
+    ("head", "outcome"),
+    [
+        (HEAD, Outcome.OK),
+        (b"HTTP/1.0 200 x\r\n\r\n", Outcome.OK),
+        (b"HTTP/1.1 200 x\r\nConnection: close\r\n\r\n", Outcome.OK),
+        (b"HTTP/1.1 200 x\r\nConnection: keep-alive\r\n\r\n", Outcome.OK),
+        (b"HTTP/1.0 200 x\r\nConnection: keep-alive\r\n\r\n", Outcome.OK),
+        (b"HTTP/1.1 103 x\r\n\r\n" + HEAD, Outcome.OK),
+        (b"HTTP/1.1 500 x\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 503 x\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 503 x\r\nSrv-Declined: 1\r\n\r\n", Outcome.REJECTED),
+    ],
+)
+@pytest.mark.parametrize("body", [b"", b"all\r\n\r\nof it"])
+def test_an_answer_without_a_length_is_whole_at_its_connections_end(
+    head: bytes, outcome: Outcome, body: bytes, then: tuple[str, ...]
+) -> None:
+    """HTTP/1.1 ends it there. All of it lies in the system as it is read; a reset after an end comes late."""
+
+    async def test() -> None:
+        async with bare(says(head + body, *then)) as b:
+            pool = Pool(0.25, 30.0, 10)
+            for tries in (1, 2):  # the connection is not kept
+                how, reply = await Out(pool, b.endpoint).end()
+                assert how is outcome and reply is not None and reply.body == body
+                assert len(b.wires) == len(b.seen) == tries
+            pool.close()
+
+    run(test)
+
+
+def test_an_answer_without_a_length_is_none_before_its_end(read: bytearray) -> None:
+    async def test() -> None:
+        async with bare(says(HEAD + b"all ")) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = Out(pool, b.endpoint)
+            await until(lambda: len(read) == len(HEAD) + 4)
+            assert not out.ends
+            b.wires[0].say(b"of it")
+            await until(lambda: len(read) == len(HEAD) + 9)
+            assert not out.ends
+            b.wires[0].end()
+            how, reply = await out.end()
+            assert how is Outcome.OK and reply and reply.body == b"all of it"
+            pool.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("at", range(1, len(HEAD) + 6))
+@pytest.mark.parametrize("seen_before", [False, True])
+def test_a_reset_is_no_end_of_an_answer_without_a_length(at: int, seen_before: bool, read: bytearray) -> None:
+    """At each byte and after the last, be it read before the reset comes or with the reset behind it."""
+    said = (HEAD + b"whole")[:at]
+
+    async def test() -> None:
+        async with bare(says(said) if seen_before else says(said, "reset")) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = Out(pool, b.endpoint)
+            if seen_before:
+                await until(lambda: len(read) == len(said))
+                assert not out.ends
+                b.wires[0].reset()
+            assert await out.end() == (Outcome.RESET, None)
+            pool.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("size", "outcome"), [(65_536, Outcome.OK), (65_537, Outcome.RESET)])
+def test_an_answer_without_a_length_has_a_longest(size: int, outcome: Outcome) -> None:
+    """One byte more is known at once for no answer, though its connection stays open."""
+
+    async def test() -> None:
+        async def handle(wire: Wire, got: Message) -> None:
+            await asyncio.get_running_loop().sock_sendall(wire.socket, HEAD + b"x" * size)
+            if outcome is Outcome.OK:
+                wire.end()
+
+        async with bare(handle) as b:
+            pool = Pool(0.25, 30.0, 10)
+            how, reply = await Out(pool, b.endpoint).end()
+            assert how is outcome and (reply is None or len(reply.body) == size)
+            pool.close()
+
+    run(test)
+
+
+def test_an_answer_without_a_length_or_an_end_is_given_up(read: bytearray) -> None:
+    async def test() -> None:
+        clock = SteppedClock()
+        async with bare(says(HEAD + b"all of it")) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = Out(pool, b.endpoint)
+            await until(lambda: read.endswith(b"it"))
+            assert not out.ends
+            clock.step(upstream.WHOLE_S)
+            assert await out.end() == (Outcome.RESET, None)
+            pool.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize(("more", "kept"), [(b"", True), (b"Connection: close\r\n", False)])
+def test_an_answer_that_has_no_body_by_its_status_ends_with_its_head(
+    status: int, more: bytes, kept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async with bare(says(b"HTTP/1.1 %d x\r\n%s\r\n" % (status, more))) as b:
+            pool = Pool(0.25, 30.0, 10)
+            for _ in range(2):
+                assert (await Out(pool, b.endpoint).end())[0] is Outcome.ERROR
+            assert len(b.wires) == 2 - kept
+            pool.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", ["read", "write", "mark", "pay"])
+def test_what_an_answer_without_a_length_brings_its_client(kind: str) -> None:
+    """Served where the connection ends; where it is reset the request may have run."""
+
+    async def test() -> None:
+        ends = ["reset", "end"]
+
+        async def handle(wire: Wire, got: Message) -> None:
+            await says(HEAD + b"all of it", ends.pop(0))(wire, got)
+
+        async with bare(handle) as b, proxy(entry("s-1", b.port)) as p:
+            first, _, body = await p.ask(call(kind))
+            if kind == "pay":
+                assert first.split()[1] == "502" and len(b.seen) == 1
+                first, _, body = await p.ask(call(kind, id="a2"))
+            assert first.split()[1] == "200" and body == b"all of it"
+            assert len(b.seen) == 2
+
+    run(test)
