Hold what follows answers that are cut, spoilt or declined

The program keeps these terms already; the tests force each on bare sockets: an answer cut at each byte of head and body by an end and by a reset, on a new connection and a kept one, answers that are none, and 500, 503 and 504 with and without Srv-Declined. Through the whole proxy a safe or keyed class is sent again and served, and an unsafe one ends failed after the one send, unless the answer proves that it never ran.

The bare socket of a stand-in is taken from the loop before it is closed: another one could have got its number while the loop still watched it.

--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -14,7 +14,7 @@
 from snowvalve.interface import Outcome
 from snowvalve.net import upstream
 from snowvalve.net.upstream import Endpoint, Outgoing, Pool, Reply
-from tests.net_helpers import SteppedClock, call, entry, proxy, run, until
+from tests.net_helpers import SteppedClock, answer, call, entry, proxy, run, until
 
 REQUEST = Outgoing(
     b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
@@ -43,6 +43,7 @@
         self.socket.shutdown(socket.SHUT_WR)
 
     def reset(self) -> None:
+        asyncio.get_running_loop().remove_reader(self.socket)  # it may be waiting for more
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.socket.close()
 
@@ -88,6 +89,8 @@
         self.port: int = self.socket.getsockname()[1]
         self.endpoint = Endpoint(1, ("127.0.0.1", self.port))
         self.wires: list[Wire] = []
+        self.reads = asyncio.Event()  # it reads nothing before
+        self.reads.set()
         self.seen: list[Message] = []
 
     @property
@@ -104,6 +107,7 @@
     tasks: list[asyncio.Task[None]] = []
 
     async def serve(wire: Wire) -> None:
+        await made.reads.wait()
         while (got := await wire.request()) is not None:
             made.seen.append(got)
             await handle(wire, got)
@@ -318,3 +322,108 @@
             assert len(b.seen) == 2
 
     run(test)
+
+
+# Answers that are cut, and such as are none
+
+CHUNKED = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n3\r\nall\r\n0\r\n\r\n"
+SPOILT = [
+    b"\x8f noise without the end of a line",
+    b"not http\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nno colon here\r\nContent-Length: 2\r\n\r\nok",
+    b"HTTP/1.1 200 x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    b"HTTP/1.1 200 x\r\nContent-Length: 65537\r\n\r\nok",
+    b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 100 x\r\n\r\n" * 100 + answer(200, b"ok"),
+    b"HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\n",
+]
+KINDS = ["read", "write", "mark", "pay"]
+
+
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize(
+    "whole", [answer(200, b"ok"), CHUNKED, b"HTTP/1.1 103 x\r\n\r\n" + answer(200, b"ok")]
+)
+def test_an_answer_that_is_cut_anywhere_is_none(
+    whole: bytes, how: str, kept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        said: list[tuple[bytes | str, ...]] = []
+
+        async def handle(wire: Wire, got: Message) -> None:
+            await says(*said.pop(0))(wire, got)
+
+        async with bare(handle) as b:
+            for at in range(len(whole) + 1):
+                said[:] = [*[(answer(200, b"first"),)] * kept, (whole[:at], how)]
+                pool, before = Pool(0.25, 30.0, 10), len(b.wires)
+                for _ in range(kept):
+                    assert (await Out(pool, b.endpoint).end())[0] is Outcome.OK
+                got = await Out(pool, b.endpoint).end()
+                if at < len(whole):
+                    assert got == (Outcome.RESET, None), at
+                else:
+                    assert got[0] is Outcome.OK
+                assert len(b.wires) == before + 1
+                pool.close()
+
+    run(test)
+
+
+async def fares(kind: str, *first: bytes | str) -> tuple[int, list[str]]:
+    """What a client gets, and the ids that backends saw, where the first of two sends is met with this."""
+    met = [first]
+
+    async def handle(wire: Wire, got: Message) -> None:
+        await says(*(met.pop() if met else (answer(200, b"served"),)))(wire, got)
+
+    async with (
+        bare(handle) as a,
+        bare(handle) as b,
+        proxy(entry("s-1", a.port), entry("s-2", b.port)) as p,
+    ):
+        line, _, body = await p.ask(call(kind, id="r1"))
+        status = int(line.split()[1])
+        assert (status == 200) is (body == b"served")
+        return status, a.ids + b.ids
+
+
+def may_have_run(kind: str) -> tuple[int, list[str]]:
+    """What becomes of a request whose first attempt may have run."""
+    return (502, ["r1"]) if kind == "pay" else (200, ["r1", "r1"])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_what_follows_an_answer_that_is_cut_anywhere(kind: str, how: str) -> None:
+    async def test() -> None:
+        whole = answer(200, b"served")
+        for at in range(len(whole)):
+            assert await fares(kind, whole[:at], how) == may_have_run(kind), at
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_what_follows_an_answer_that_is_none(kind: str) -> None:
+    async def test() -> None:
+        for said in SPOILT:
+            assert await fares(kind, said) == may_have_run(kind), said
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [500, 503, 504])
+@pytest.mark.parametrize("declined", ["1", "0", ""])
+def test_only_what_is_declined_has_surely_not_run(kind: str, status: int, declined: str) -> None:
+    async def test() -> None:
+        never_ran = declined == "1" and status != 500
+        told = (200, ["r1", "r1"]) if never_ran else may_have_run(kind)
+        said = answer(status, Srv_Declined=declined) if declined else answer(status)
+        assert await fares(kind, said) == told
+
+    run(test)
