Hold late second answers, breaks of kept connections, late ones and short windows

The program keeps these terms already. On bare sockets, with each moment forced: a second answer, an end or a reset on a kept connection, read before or lying unread as the next request begins; the rest of a connection after its answer; a kept connection that breaks under a request; connections that come up after a cancel, a withdrawal, a drain, a time-out or the connect time-out; repeats of a keyed request in a window longer and shorter than the connect time-out and of none, timed at the backends by their own clock.

The stand-in for the whole proxy takes the connect time-out as a parameter.

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -182,8 +182,9 @@
     discovery: int = 1,
     idle_s: float = 30.0,
     most: int = 100,
+    connect_s: float = 0.25,
 ) -> AsyncIterator[Proxy]:
-    pool = Pool(0.25, idle_s, most)
+    pool = Pool(connect_s, idle_s, most)
     driver = Driver(setup or settings(), 1, pool, ("127.0.0.1", discovery))
     frontend = Frontend(driver, {c.name: c for c in driver._balancer.settings.classes}, most)
     _, port = frontend.listen(("127.0.0.1", 0))
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -11,10 +11,12 @@
 
 import pytest
 
+from snowvalve import interface as i
 from snowvalve.interface import Outcome
 from snowvalve.net import upstream
 from snowvalve.net.upstream import Endpoint, Outgoing, Pool, Reply
-from tests.net_helpers import SteppedClock, answer, call, entry, proxy, run, until
+from tests.helpers import S, settings
+from tests.net_helpers import Proxy, SteppedClock, answer, call, entry, proxy, run, until
 
 REQUEST = Outgoing(
     b"POST", b"/api", [(b"host", b"x"), (b"idempotency-key", b"k"), (b"content-length", b"2")], b"hi", True
@@ -427,3 +429,245 @@
         assert await fares(kind, said) == told
 
     run(test)
+
+
+# Kept connections, and what comes on them late
+
+
+@pytest.mark.parametrize("what", ["answer", "end", "reset", "answer and end"])
+@pytest.mark.parametrize("unread", [True, False])
+def test_what_comes_on_a_kept_connection_is_not_the_next_answer(
+    what: str, unread: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Be it that it lies unread as the next request begins, in the same turn, or was read before."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async def handle(wire: Wire, got: Message) -> None:
+            wire.say(answer(200, b"%d" % len(b.seen)))
+
+        async with bare(handle) as b:
+            pool = Pool(0.25, 30.0, 10)
+            assert (await Out(pool, b.endpoint).end())[1] == Reply(200, [(b"content-length", b"1")], b"1")
+            [wire] = b.wires
+            if "answer" in what:
+                wire.say(answer(200, b"1"))
+            if "end" in what:
+                wire.end()
+            if what == "reset":
+                wire.reset()
+            if not unread:
+                await until(lambda: not pool._open)
+            how, reply = await Out(pool, b.endpoint).end()
+            assert how is Outcome.OK and reply and reply.body == b"2"
+            assert len(b.wires) == len(b.seen) == 2
+            pool.close()
+
+    run(test)
+
+
+def test_a_connection_rests_after_its_answer_so_that_a_second_one_shows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """However often it is wanted meanwhile; the second answer comes in the rest's last moment."""
+    monkeypatch.setattr(upstream, "SETTLE_S", 20.0)
+
+    async def test() -> None:
+        async def handle(wire: Wire, got: Message) -> None:
+            wire.say(answer(200, b"%d" % len(b.seen)))
+
+        async with bare(handle) as b:
+            pool, clock = Pool(0.25, 3000.0, 10), SteppedClock()
+            for n in (b"1", b"2", b"3"):
+                how, reply = await Out(pool, b.endpoint).end()
+                assert how is Outcome.OK and reply and reply.body == n
+            assert len(b.wires) == 3
+            for wire in b.wires[:2]:
+                wire.say(answer(200, b"late"))
+            clock.step(20.0)
+            for n in (b"4", b"5"):  # the third one has rested and said nothing more
+                how, reply = await Out(pool, b.endpoint).end()
+                assert how is Outcome.OK and reply and reply.body == n
+            assert len(b.wires) == 4
+            pool.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_kept_connection_that_breaks_under_a_request(
+    kind: str, how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The break crosses the write, so it may have run: what must not run twice uses no kept one."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+
+    async def test() -> None:
+        async def handle(wire: Wire, got: Message) -> None:
+            if len(wires) == 1 and wire is wires[0]:
+                await says(how)(wire, got)
+            else:
+                wires.append(wire)
+                wire.say(answer(200, got[1]["req-id"].encode()))
+
+        wires: list[Wire] = []
+        async with bare(handle) as b, proxy(entry("s-1", b.port)) as p:
+            assert (await p.ask(call(id="first")))[2] == b"first"
+            line, _, body = await p.ask(call(kind, id="r1"))
+            assert line.split()[1] == "200" and body == b"r1"
+            assert b.ids == (["first", "r1"] if kind == "pay" else ["first", "r1", "r1"])
+
+    run(test)
+
+
+# Connections that come up late
+
+
+class Held:
+    """Connections to backends come up no sooner than a test says; the limits on that run meanwhile."""
+
+    def __init__(self) -> None:
+        self.opened, self.waiting = asyncio.Event(), 0
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def held(make: Callable[[], asyncio.Protocol], host: str, port: int) -> object:
+            self.waiting += 1
+            await self.opened.wait()
+            return await connect(make, host, port)
+
+        loop.create_connection = held  # type: ignore[method-assign, assignment]
+
+
+@pytest.mark.parametrize("how", ["cancel", "withdraw", "drain", "time out", "no connection"])
+@pytest.mark.parametrize("request_", [REQUEST, ONCE])
+def test_nothing_is_sent_on_a_connection_that_comes_up_after_its_attempt(
+    how: str, request_: Outgoing
+) -> None:
+    async def test() -> None:
+        clock = SteppedClock()
+        async with bare(says(answer(200, b"ok"))) as b:
+            pool, held = Pool(0.25, 30.0, 10), Held()
+            out = Out(pool, b.endpoint, request_, timeout_s=0.2 if how == "time out" else 60.0)
+            await until(lambda: held.waiting == 1)
+            match how:
+                case "cancel":
+                    out.attempt.cancel()
+                case "withdraw":
+                    out.attempt.withdraw()
+                case "drain":
+                    pool.bar(b.endpoint)
+                case "time out":
+                    clock.step(0.21)
+                case _:
+                    clock.step(0.26)
+            got = (await out.end())[0]
+            assert got.never_ran or (how, got) == ("cancel", Outcome.CANCELLED)
+            held.opened.set()
+            for n in range(3):  # what would come of the first one comes before the end of these
+                other = replace(request_, target=b"/%d" % n)
+                assert await Out(pool, b.endpoint, other).end() == (Outcome.OK, OK)
+            assert [first.split()[1] for first, _, _ in b.seen] == ["/0", "/1", "/2"]
+            assert len(out.ends) == 1
+            pool.close()
+
+    run(test)
+
+
+# Short windows. All times are long, so that the real time that passes meanwhile counts for nothing.
+
+CONNECT_S = 25.0
+
+
+def keyed(window_s: float, scope: i.Scope = i.Scope.ALL) -> i.Settings:
+    cls = i.RequestClass("mark", 400 * S, 900 * S, i.Repeat.KEYED, scope, window_us=round(window_s * S))
+    limits = i.Limits(max_attempts=3, connect_timeout_us=round(CONNECT_S * S))
+    return settings(classes=(cls,), limits=limits)
+
+
+class Keyed:
+    """A keyed request through the proxy: its first attempt is out, and the test's hand is on the clock."""
+
+    def __init__(self, p: Proxy, backends: list[Bare]) -> None:
+        self.p, self.backends = p, backends
+        self.clock = SteppedClock()
+        now_us = p.driver._clock.now_us
+        p.driver._clock.now_us = lambda: now_us() + round(self.clock.ahead * S)  # type: ignore[method-assign]
+        self.asked = asyncio.ensure_future(p.ask(call("mark", id="r1", Req_Deadline="900")))
+
+    @property
+    def sent(self) -> int:
+        return sum(len(b.seen) for b in self.backends)
+
+    async def status(self) -> int:
+        return int((await self.asked)[0].split()[1])
+
+
+@asynccontextmanager
+async def keyed_request(window_s: float) -> AsyncIterator[tuple[Keyed, list[tuple[float, Wire]]]]:
+    """And when backends saw it, by their own clock."""
+    seen: list[tuple[float, Wire]] = []
+
+    async def handle(wire: Wire, got: Message) -> None:
+        seen.append((asyncio.get_running_loop().time(), wire))
+        if len(seen) > 1:
+            wire.say(answer(200, b"ok"))
+
+    async with (
+        bare(handle) as a,
+        bare(handle) as b,
+        proxy(
+            entry("s-1", a.port), entry("s-2", b.port), setup=keyed(window_s), connect_s=CONNECT_S, idle_s=9e3
+        ) as p,
+    ):
+        request = Keyed(p, [a, b])
+        await until(lambda: len(seen) == 1)
+        yield request, seen
+
+
+@pytest.mark.parametrize(
+    ("window_s", "after_s", "again"),
+    [(100.0, 0.0, True), (100.0, 70.0, True), (100.0, 80.0, False), (20.0, 0.0, False), (0.0, 0.0, False)],
+)
+@pytest.mark.parametrize("late_s", [0.0, 24.0])
+@pytest.mark.parametrize("how", ["reset", "end", "500"])
+def test_a_keyed_repeat_is_seen_within_its_window(
+    window_s: float, after_s: float, late_s: float, again: bool, how: str
+) -> None:
+    """Also where its connection comes up as late as it may, or could come up later than the window's end."""
+
+    async def test() -> None:
+        async with keyed_request(window_s) as (request, seen):
+            held = Held()
+            request.clock.step(after_s)
+            if how == "500":
+                seen[0][1].say(answer(500))
+            else:
+                await says(how)(seen[0][1], ("", {}, b""))
+            if again:
+                await until(lambda: held.waiting == 1)
+                request.clock.step(late_s)
+                held.opened.set()
+            assert await request.status() == (200 if again else 503)
+            assert len(seen) == request.sent == 1 + again
+            assert seen[-1][0] - seen[0][0] <= window_s
+
+    run(test)
+
+
+def test_a_keyed_repeat_whose_connection_does_not_come_up_in_time_is_not_sent() -> None:
+    async def test() -> None:
+        async with keyed_request(100.0) as (request, seen):
+            held = Held()
+            request.clock.step(60.0)
+            seen[0][1].reset()
+            await until(lambda: held.waiting == 1)
+            request.clock.step(CONNECT_S + 0.1)  # a further one could come up after the window
+            assert await request.status() == 503
+            held.opened.set()
+            request.clock.step(50.0)
+            other = await request.p.ask(call("mark", id="r2", Req_Deadline="900"))
+            assert other[0].split()[1] == "200"
+            assert [i for b in request.backends for i in b.ids if i == "r1"] == ["r1"]
+
+    run(test)
