Look at a kept connection once more right before its next request is written

Cause: Pool.take looks whether anything has come on an idle connection, and Connection.send wrote the request only after h11 had put it together. A second answer that came in between was served as the next request's; an end that came in between made that request one that may have run.

Change: Connection.send looks again once the bytes are ready. If anything is there, nothing is written, and the attempt ends as not sent, which says nothing of the backend.

The moment forced: 3 tests fail without the look, where the late answer is served or the request is sent into the break.

Ruled out: a look after the write. It would also meet true answers where the process is held up just then. What comes later than that, behind the rest of SETTLE_S and before the true answer, can't be told from it: an answer does not say whose it is.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -221,6 +221,10 @@
             log.error("a request can't be sent: %s", error)
             attempt.finish(Outcome.NOT_SENT)
             return
+        # Guards against taking a second answer that has come since the pool looked for this request's.
+        if self._kept and unread(self.transport):
+            attempt.finish(Outcome.NOT_SENT)  # it says nothing of the backend
+            return
         self.transport.write(b"".join(part for part in parts if part))
         if self.transport.is_closing():  # the write failed, so the last byte was not taken
             attempt.finish(Outcome.NO_CONNECTION)
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -466,6 +466,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("what", ["answer", "end", "reset"])
+def test_what_comes_on_a_kept_connection_once_it_was_looked_at_is_not_the_next_answer(
+    what: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It comes in the very moment before the write: nothing is written, so nothing has run."""
+    monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
+    looks: list[bool] = []
+    look = upstream.unread
+
+    async def test() -> None:
+        async with bare(says(answer(200, b"first"))) as b:
+            pool = Pool(0.25, 30.0, 10)
+            assert (await Out(pool, b.endpoint).end())[0] is Outcome.OK
+
+            def crossed(transport: asyncio.BaseTransport) -> bool:
+                looks.append(look(transport))
+                if len(looks) == 1:
+                    [wire] = b.wires
+                    {"answer": lambda: wire.say(answer(200, b"late")), "end": wire.end, "reset": wire.reset}[
+                        what
+                    ]()
+                return looks[-1]
+
+            monkeypatch.setattr(upstream, "unread", crossed)
+            assert await Out(pool, b.endpoint).end() == (Outcome.NOT_SENT, None)
+            assert looks == [False, True]
+            assert len(b.seen) == 1 and not pool._idle
+            pool.close()
+
+    run(test)
+
+
 def test_a_connection_rests_after_its_answer_so_that_a_second_one_shows(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
