Let the test of a second answer rest on no speed

It began its second attempt at once and counted on less than the 10 ms of SETTLE_S having passed: on a machine held up just then the kept connection would have been taken, rightly, and the test would have failed. The rest is 60 s in it now; what it asserts is as before. Seen to fail without the rest in Pool.take.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -118,8 +118,9 @@
     run(test)
 
 
-def test_what_comes_late_behind_an_answer_is_not_the_next_one() -> None:
+def test_what_comes_late_behind_an_answer_is_not_the_next_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """A second copy comes just after the connection was kept: it is not taken again at once, nor then."""
+    monkeypatch.setattr(upstream, "SETTLE_S", 60.0)
 
     async def test() -> None:
         copy = asyncio.Event()
