End a given-up attempt's connection before its outcome is told

Cause: Connection.close called only transport.abort, which closes the socket in the loop's next turn. Attempt.finish tells the outcome in this turn, and the module may send the request again at once; on a kept connection that is written in this turn too. So for a moment two copies were out, the first one on a connection that was still open.

Change: Connection.close ends the sending on the socket itself before it aborts the transport. What had not left the process is still dropped.

Result: at the moment in which the outcome is told the backend's end of the connection shows its end, after a cancel, a time-out and a spoilt answer; without the change all three tests fail.

Ruled out: unsafe classes, which are not sent again then.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -12,6 +12,7 @@
 import logging
 import math
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -257,6 +258,10 @@
 
     def close(self) -> None:
         """Gives the connection up at once, with whatever is still to be written."""
+        # Guards against two copies out at once: `abort` closes in the loop's next turn, and by then the next
+        # attempt may have been written on another connection.
+        with contextlib.suppress(OSError):
+            self.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self.transport.abort()
 
     def _doubt(self) -> None:
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -826,6 +826,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("how", ["cancel", "time out", "spoilt"])
+def test_an_attempt_that_is_given_up_has_ended_at_its_backend_before_anything_follows(how: str) -> None:
+    """The next one may be written in the same turn, on a kept connection: it must be no second copy."""
+
+    async def test() -> None:
+        async def handle(wire: Wire, got: Message) -> None:
+            if how == "spoilt":
+                wire.say(b"not http\r\n\r\n")
+
+        def done(outcome: Outcome, reply: Reply | None) -> None:
+            [wire] = b.wires
+            try:
+                ended.append(wire.socket.recv(1, socket.MSG_PEEK) == b"")
+            except BlockingIOError:
+                ended.append(False)
+
+        ended: list[bool] = []
+        async with bare(handle) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = pool.attempt(b.endpoint, REQUEST, 60.0, done)
+            await until(lambda: bool(b.seen))
+            if how == "cancel":
+                out.cancel()
+            elif how == "time out":
+                out._timed_out()
+            await until(lambda: bool(ended))
+            assert ended == [True]
+            pool.close()
+
+    run(test)
+
+
 # Crossings
 
 EVENTS = ["answer", "reset", "time out", "cancel", "withdraw", "drain"]
