--- /dev/null
+++ b/tests/test_one_answer.py
@@ -0,0 +1,295 @@
+"""The whole proxy among backends that misbehave and clients that leave, judged from outside by the protocol.
+
+What a backend does with a request hangs on the seed and the request alone. Times are long, and a hand moves
+the clock on where all stand still: the real time that passes counts for nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import pytest
+
+from snowvalve import interface as i
+from snowvalve.net import upstream
+from tests.helpers import S, settings
+from tests.net_helpers import Proxy, SteppedClock, answer, call, entry, proxy, read_message, run
+from tests.test_terms_backends import HEAD, SPOILT, Bare, Handle, Message, Wire, bare, stepped
+
+STEP_S = 5.0
+WINDOW_S = 60.0
+CONNECT_S = 5.0
+TURNS = 40  # of the loop without any news: then all wait for the clock
+MOST = 3  # attempts
+CLASSES = (
+    i.RequestClass("read", 200 * S, 500 * S, i.Repeat.SAFE),
+    i.RequestClass("write", 200 * S, 500 * S, i.Repeat.KEYED, i.Scope.CELL, round(WINDOW_S * S)),
+    i.RequestClass("mark", 200 * S, 500 * S, i.Repeat.KEYED, i.Scope.ALL, round(WINDOW_S * S)),
+    i.RequestClass("pay", 200 * S, 500 * S),
+)
+WAYS = {
+    "answer": 12,
+    "answer twice": 2,
+    "answer, late again": 2,
+    "answer, then end": 2,
+    "answer after a while": 3,
+    "no length, end": 3,
+    "no length, reset": 2,
+    "500": 2,
+    "503": 1,
+    "declined": 3,
+    "cut, end": 2,
+    "cut, reset": 2,
+    "spoilt": 2,
+    "reset": 2,
+    "end": 2,
+    "silent": 2,
+    "silent, then reset": 2,
+}
+
+
+@dataclass
+class Visit:
+    """An attempt as its backend saw it."""
+
+    at: float
+    step: int
+    cell: int
+    way: str
+    wire: Wire
+    over: bool = False  # the backend has said its last word on it
+
+    @property
+    def open(self) -> bool:
+        """Is it still out, on a connection that is still open?"""
+        if self.over or self.wire.closed:
+            return False
+        try:
+            return self.wire.socket.recv(1, socket.MSG_PEEK) != b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+
+@dataclass
+class Asked:
+    """A request of a client's."""
+
+    kind: str
+    visits: list[Visit] = field(default_factory=list)
+    status: int = 0  # of its answer
+    ended: int | None = None  # the step in which it was answered or its client left
+
+
+class World:
+    def __init__(self, seed: int, p: Proxy) -> None:
+        self.seed, self.p = seed, p
+        self.clock: SteppedClock = stepped(p)
+        self.step = 0
+        self.news = 0  # counts whatever happens
+        self.late = 0  # second answers that are still to come
+        self.asked: dict[str, Asked] = {}
+        self.faults: list[str] = []
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # Backends
+
+    def backend(self, cell: int) -> Handle:
+        async def handle(wire: Wire, got: Message) -> None:
+            self.news += 1
+            id = got[1].get("req-id", "none")
+            asked = self.asked.get(id)
+            if asked is None:
+                self.faults.append(f"{id}: no client sent this")
+                return
+            rng = random.Random(f"{self.seed} {id} {len(asked.visits)}")
+            [way] = rng.choices([*WAYS], [*WAYS.values()])
+            visit = Visit(self.now(), self.step, cell, way, wire)
+            self.check(id, asked, visit)
+            asked.visits.append(visit)
+            with contextlib.suppress(OSError):  # the proxy may have left
+                await self.respond(rng, visit, answer(200, id.encode()), id)
+            self.news += 1
+
+        return handle
+
+    async def respond(self, rng: random.Random, visit: Visit, good: bytes, id: str) -> None:
+        wire, way = visit.wire, visit.way
+        if way == "answer after a while" or way == "silent, then reset":
+            until_step = self.step + rng.randrange(1, 12)
+            while self.step < until_step and visit.open:
+                await asyncio.sleep(0)
+            if not visit.open:
+                return
+        visit.over = way != "silent"
+        match way:
+            case "answer" | "answer after a while":
+                wire.say(good)
+            case "answer twice":
+                wire.say(good + good)
+            case "answer, late again":
+                wire.say(good)
+                self.late += 1
+                for _ in range(rng.randrange(TURNS)):
+                    await asyncio.sleep(0)
+                self.late -= 1
+                wire.say(good)
+            case "answer, then end":
+                wire.say(good)
+                wire.end()
+            case "no length, end":
+                wire.say(HEAD + id.encode())
+                wire.end()
+            case "no length, reset":
+                wire.say(HEAD + id.encode())
+                wire.reset()
+            case "500" | "503":
+                wire.say(answer(int(way), b"x"))
+            case "declined":
+                wire.say(answer(rng.choice((503, 504)), Srv_Declined="1"))
+            case "cut, end" | "cut, reset":
+                wire.say(good[: rng.randrange(1, len(good))])
+                wire.end() if way == "cut, end" else wire.reset()
+            case "spoilt":
+                wire.say(rng.choice(SPOILT))
+            case "reset" | "silent, then reset":
+                wire.reset()
+            case "end":
+                wire.end()
+
+    def check(self, id: str, asked: Asked, visit: Visit) -> None:
+        """The rules, as a further attempt comes in."""
+        before = asked.visits
+        if asked.ended is not None and visit.step > asked.ended:
+            self.faults.append(f"{id}: sent after its end")
+        if any(v.open for v in before):
+            self.faults.append(f"{id}: a second copy, the first being {[v.way for v in before]}")
+        if len(before) >= MOST:
+            self.faults.append(f"{id}: too many attempts")
+        ran = [v for v in before if v.way != "declined"]
+        if ran and asked.kind == "pay":
+            self.faults.append(f"{id}: unsafe, and sent again after {ran[0].way}")
+        if ran and asked.kind in ("write", "mark") and visit.at - ran[0].at > WINDOW_S:
+            self.faults.append(f"{id}: sent again after its window")
+        if ran and asked.kind == "write" and visit.cell != ran[0].cell:
+            self.faults.append(f"{id}: sent again in another cell")
+
+    # Clients
+
+    async def client(self, number: int, requests: int) -> None:
+        rng = random.Random(f"{self.seed} client {number}")
+        streams = None
+        for n in range(requests):
+            id, kind = f"r{number}-{n}", rng.choice([c.name for c in CLASSES])
+            body = b"" if kind == "read" else b"b" * rng.randrange(2000)
+            leaves = rng.randrange(30) if rng.random() < 0.2 else None
+            streams = streams or await self.p.connect()
+            reader, writer = streams
+            asked = self.asked[id] = Asked(kind)
+            writer.write(call(kind, id=id, body=body, Req_Deadline="500"))
+            got = asyncio.ensure_future(read_message(reader))
+            if leaves is not None:
+                for _ in range(leaves):
+                    await asyncio.sleep(0)
+                if not got.done():
+                    got.cancel()
+                    writer.transport.abort()
+                    streams, asked.ended = None, self.step
+                    self.news += 1
+                    continue
+            try:
+                first, headers, said = await got
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self.faults.append(f"{id}: lost")
+                streams = None
+                continue
+            self.news += 1
+            asked.ended, asked.status = self.step, int(first.split()[1])
+            self.judge(id, asked, said)
+            if headers.get("connection") == "close":
+                streams = None
+        if streams is not None:
+            streams[1].close()
+
+    def judge(self, id: str, asked: Asked, said: bytes) -> None:
+        """The rules, as the final answer comes in. A second one would be taken for the next request's."""
+        made = {"answer", "answer twice", "answer, late again", "answer, then end", "answer after a while"}
+        ran = [v for v in asked.visits if v.way != "declined"]
+        match asked.status:
+            case 200:
+                if said != id.encode() or not any(v.way in {*made, "no length, end"} for v in asked.visits):
+                    self.faults.append(f"{id}: served with {said!r}, which no backend made for it")
+            case 503:
+                if ran and asked.kind in ("write", "pay"):
+                    self.faults.append(f"{id}: refused, though it may have run by {ran[0].way}")
+            case 502:
+                pass
+            case other:
+                self.faults.append(f"{id}: answered {other}")
+
+    async def play(self, clients: int, requests: int) -> None:
+        tasks = [asyncio.ensure_future(self.client(n, requests)) for n in range(clients)]
+        while not all(task.done() for task in tasks):
+            seen, still = self.news, 0
+            while still < TURNS:
+                await asyncio.sleep(0)
+                still = still + 1 if self.news == seen and not self.late else 0
+                seen = self.news
+            self.step += 1
+            self.clock.step(STEP_S)
+        for task in tasks:
+            task.result()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_each_request_gets_one_answer_and_no_copy_that_the_rules_forbid(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "SETTLE_S", 4 * STEP_S)
+    limits = i.Limits(max_attempts=MOST, cancel=seed % 2 == 0, connect_timeout_us=round(CONNECT_S * S))
+
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            closed = stack.enter_context(socket.socket())
+            closed.bind(("127.0.0.1", 0))
+            worlds: list[World] = []
+
+            def handle(cell: int) -> Handle:
+                async def handle(wire: Wire, got: Message) -> None:
+                    await worlds[0].backend(cell)(wire, got)
+
+                return handle
+
+            backends: list[Bare] = [await stack.enter_async_context(bare(handle(n % 2))) for n in range(6)]
+            entries = [entry(f"s-{n}", b.port, pod_group=n % 2) for n, b in enumerate(backends)]
+            p = await stack.enter_async_context(
+                proxy(
+                    *entries,
+                    entry("s-closed", closed.getsockname()[1]),
+                    setup=settings(classes=CLASSES, limits=limits),
+                    connect_s=CONNECT_S,
+                    idle_s=9000.0,
+                )
+            )
+            world = World(seed, p)
+            worlds.append(world)
+            await world.play(clients=8, requests=25)
+            assert world.faults == []
+            # The world does reach what it is to check.
+            every = world.asked.values()
+            assert len(every) == 200
+            assert sum(a.status == 200 for a in every) > 40
+            assert sum(len(a.visits) > 1 for a in every) > 5
+            assert sum(a.ended is not None and not a.status for a in every) > 5
+            assert len(Counter(v.way for a in every for v in a.visits)) > 12
+
+    run(test)
