--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -12,6 +12,7 @@
 import logging
 import math
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -255,6 +256,10 @@
             log.error("a request can't be sent: %s", error)
             attempt.finish(Outcome.NOT_SENT)
             return
+        # Guards against taking a second answer that has come since the pool looked for this request's.
+        if self._kept and unread(self.transport):
+            attempt.finish(Outcome.NOT_SENT)  # it says nothing of the backend
+            return
         self.transport.write(b"".join(part for part in parts if part))
         if self.transport.is_closing():  # the write failed, so the last byte was not taken
             attempt.finish(Outcome.NO_CONNECTION)
@@ -270,7 +275,9 @@
 
     def eof_received(self) -> None:
         self._doubt()
-        self._read(b"")  # an answer without a length ends here; any other is broken
+        # An answer without a length ends here, and only here: bytes come in order, so one that was reset has
+        # no end, be it after its last byte. Any other answer is broken.
+        self._read(b"")
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.closed(self)
@@ -286,6 +293,10 @@
 
     def close(self) -> None:
         """Gives the connection up at once, with whatever is still to be written."""
+        # Guards against two copies out at once: `abort` closes in the loop's next turn, and by then the next
+        # attempt may have been written on another connection.
+        with contextlib.suppress(OSError):
+            self.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self.transport.abort()
 
     def _doubt(self) -> None:
@@ -345,9 +356,6 @@
         length = fields.get(b"content-length")
         if length is not None and (len(length) > 18 or int(length) > BODY_MOST):
             raise Spoilt("too long")
-        # One that ends with the connection could have been cut anywhere, or be noise.
-        if length is None and b"transfer-encoding" not in fields and head.status_code not in (204, 304):
-            raise Spoilt("no length")
         self._head = head
 
     def _whole(self) -> None:
