Leave a backend that says 1xx the time to work

Cause: Connection._read started the limit of WHOLE_S with the first byte that came, be it of an answer 1xx, which says that the work goes on. A backend that said 103 and then worked for longer than 1 s lost its attempt as one that may have run; an unsafe request ended failed by that.

Change: the limit runs only while an answer itself is coming, whole 1xx aside. Connection._doubt counts a 1xx as a sign of life, as it did by the timer before.

Result: the new test fails without the change, in both its forms, with a reset where the answer was to come. It also holds that the limit runs from the answer's own first byte.

Ruled out: a backend that never ends saying 1xx (INTERIM_MOST) or stops within one (the limit runs).

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -266,7 +266,8 @@
 
     def _doubt(self) -> None:
         """The backend ends the connection: a kept one without a byte of the answer had gone stale."""
-        if self.attempt is not None and self._kept and self._whole_timer is None:
+        silent = self._whole_timer is None and not self._interim
+        if self.attempt is not None and self._kept and silent:
             self._pool.distrust(self.endpoint)
 
     def _broken(self) -> None:
@@ -293,8 +294,17 @@
             self._broken()
             return
         # Guards against an answer that begins and never ends, on a connection that stays open.
-        if self.attempt is not None and self._whole_timer is None:
+        if self.attempt is not None:
+            self._time_answer()
+
+    def _time_answer(self) -> None:
+        """Limits the time from an answer's first byte; a backend that says 1xx is still at work."""
+        begun = self._head is not None or bool(self._http.trailing_data[0])
+        if begun and self._whole_timer is None:
             self._whole_timer = self._pool.loop.call_later(WHOLE_S, self._broken)
+        elif not begun and self._whole_timer is not None:
+            self._whole_timer.cancel()
+            self._whole_timer = None
 
     def _next(self) -> bool:
         event = self._http.next_event()
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -306,6 +306,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("cut", [0, 12])
+def test_a_backend_that_says_1xx_may_work_on_for_as_long_as_any(cut: int, read: bytearray) -> None:
+    """Only the answer itself has to come whole soon after its first byte, as the work is done by then."""
+    interim, good = b"HTTP/1.1 103 x\r\n\r\n", answer(200, b"ok")
+
+    async def test() -> None:
+        clock = SteppedClock()
+        async with bare(says(interim[:cut])) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = Out(pool, b.endpoint)
+            await until(lambda: len(read) == cut and len(b.seen) == 1)
+            b.wires[0].say(interim[cut:])
+            await until(lambda: len(read) == len(interim))
+            clock.step(10 * upstream.WHOLE_S)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            b.wires[0].say(good[:-1])
+            await until(lambda: read.endswith(b"o") or bool(out.ends))
+            assert not out.ends
+            clock.step(upstream.WHOLE_S)  # now its time runs
+            assert await out.end() == (Outcome.RESET, None)
+            out = Out(pool, b.endpoint)
+            await until(lambda: len(b.seen) == 2)
+            b.wires[1].say(interim[cut:])
+            clock.step(10 * upstream.WHOLE_S)
+            b.wires[1].say(good)
+            assert await out.end() == (Outcome.OK, OK)
+            pool.close()
+
+    run(test)
+
+
 @pytest.mark.parametrize("status", [204, 304])
 @pytest.mark.parametrize(("more", "kept"), [(b"", True), (b"Connection: close\r\n", False)])
 def test_an_answer_that_has_no_body_by_its_status_ends_with_its_head(
