Write nothing on a new connection that has already ended or spoken

Cause: Connection.send wrote on a new connection whatever had come on it since it stood. After an end the write succeeds and the reset that follows counts as one that may have run, though by the protocol a connection that breaks before the request's last byte is written could not connect. An unsafe request ended failed by that. What the backend had said unasked was served as its answer.

Change: the look right before the write is for all connections. On a new one it ends the attempt as not connected, so that any class may go on to another backend.

Found by reading; no trial showed it.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -222,9 +222,11 @@
             log.error("a request can't be sent: %s", error)
             attempt.finish(Outcome.NOT_SENT)
             return
-        # Guards against taking a second answer that has come since the pool looked for this request's.
-        if self._kept and unread(self.transport):
-            attempt.finish(Outcome.NOT_SENT)  # it says nothing of the backend
+        # Guards against taking a second answer that has come since the pool looked for this request's, and
+        # against sending into an end: that would count as what may have run.
+        if unread(self.transport):
+            # A kept connection may go stale at any backend; one that has just come up has failed.
+            attempt.finish(Outcome.NOT_SENT if self._kept else Outcome.NO_CONNECTION)
             return
         self.transport.write(b"".join(part for part in parts if part))
         if self.transport.is_closing():  # the write failed, so the last byte was not taken
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -111,6 +111,7 @@
         self.port: int = self.socket.getsockname()[1]
         self.endpoint = Endpoint(1, ("127.0.0.1", self.port))
         self.wires: list[Wire] = []
+        self.accepts = asyncio.Event()  # until then its connections wait in the system
         self.reads = asyncio.Event()  # it reads nothing while this is not set
         self.reads.set()
         self.seen: list[Message] = []
@@ -124,8 +125,10 @@
 
 
 @asynccontextmanager
-async def bare(handle: Handle) -> AsyncIterator[Bare]:
+async def bare(handle: Handle, accepts: bool = True) -> AsyncIterator[Bare]:
     made, loop = Bare(), asyncio.get_running_loop()
+    if accepts:
+        made.accepts.set()
     tasks: list[asyncio.Task[None]] = []
 
     async def serve(wire: Wire) -> None:
@@ -134,6 +137,7 @@
             await handle(wire, got)
 
     async def accept() -> None:
+        await made.accepts.wait()
         while True:
             accepted, _ = await loop.sock_accept(made.socket)
             made.wires.append(Wire(accepted, made.reads))
@@ -603,6 +607,54 @@
     run(test)
 
 
+# Connections that come up to no use
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("what", ["end", "reset", "answer", "answer, end"])
+def test_a_new_connection_that_has_ended_or_spoken_before_its_request_carries_none(
+    what: str, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It broke before the request's last byte was written: that has surely not run and may go elsewhere."""
+    made = upstream.Connection.connection_made
+
+    def crossed(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(connection, transport)
+        if taken:
+            return
+        [b] = [b for b in backends if b.endpoint.address == connection.endpoint.address]
+        taken.append(Wire(b.socket.accept()[0], asyncio.Event()))
+        if "answer" in what:
+            taken[0].say(answer(200, b"unasked"))
+        if "end" in what:
+            taken[0].end()
+        if what == "reset":
+            taken[0].reset()
+        for b in backends:
+            b.accepts.set()
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", crossed)
+    taken: list[Wire] = []
+    backends: list[Bare] = []
+
+    async def test() -> None:
+        handle = says(answer(200, b"served"))
+        async with (
+            bare(handle, accepts=False) as a,
+            bare(handle, accepts=False) as b,
+            proxy(entry("s-1", a.port), entry("s-2", b.port)) as p,
+        ):
+            backends[:] = [a, b]
+            line, _, body = await p.ask(call(kind, id="r1"))
+            assert line.split()[1] == "200" and body == b"served"
+            assert a.ids + b.ids == ["r1"]
+            if not taken[0].closed:
+                assert taken[0].socket.recv(1) == b""  # nothing was written
+                taken[0].socket.close()
+
+    run(test)
+
+
 # Connections that come up late
 
 
