Hold one outcome for an attempt whose end crosses its connection's coming up

The program keeps this already: each two of time-out, cancel, withdrawal and drain, in each order, as the connection is coming, as it has just been made and in the turn after, for requests that may and may not use kept connections. The first one counts, and nothing is sent. Seen to fail at all three moments with Attempt going on once it is over, and with Attempt.finish without its check.

--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
+from functools import partial
 from itertools import permutations
 from typing import Any
 
@@ -1007,3 +1008,60 @@
                 pool.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("moment", ["coming", "made", "next turn"])
+def test_an_attempt_has_one_outcome_whatever_crosses_its_connection(
+    moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All that may end it, in each order of two, as its connection comes up: and nothing is sent."""
+    made = upstream.Connection.connection_made
+    crossing: list[Callable[[], None]] = []
+
+    def connection_made(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(connection, transport)
+        if crossing and moment == "made":
+            crossing.pop()()
+        elif crossing and moment == "next turn":
+            asyncio.get_running_loop().call_soon(crossing.pop())
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", connection_made)
+
+    def both(one: Callable[[], None], two: Callable[[], None]) -> None:
+        one()
+        two()
+
+    outcomes = {
+        "time out": Outcome.NO_CONNECTION,
+        "cancel": Outcome.CANCELLED,
+        "withdraw": Outcome.NOT_SENT,
+        "drain": Outcome.NOT_SENT,
+    }
+
+    async def test() -> None:
+        async with bare(says(answer(200, b"ok"))) as b:
+            for first, second in permutations(outcomes, 2):
+                for request in (REQUEST, ONCE):
+                    pool = Pool(0.25, 30.0, 10)
+                    out = Out(pool, b.endpoint, replace(request, target=b"/crossed"))
+                    ends: dict[str, Callable[[], None]] = {
+                        "time out": out.attempt._timed_out,
+                        "cancel": out.attempt.cancel,
+                        "withdraw": out.attempt.withdraw,
+                        "drain": partial(pool.bar, b.endpoint),
+                    }
+
+                    cross = partial(both, ends[first], ends[second])
+                    if moment == "coming":
+                        await asyncio.sleep(0)  # the connect has begun
+                        cross()
+                    else:
+                        crossing.append(cross)
+                    assert await out.end() == (outcomes[first], None), (first, second)
+                    for _ in range(3):  # what would come of it comes before the end of these
+                        assert (await Out(pool, b.endpoint, request).end())[0] is Outcome.OK
+                    assert len(out.ends) == 1
+                    pool.close()
+            assert not [first for first, _, _ in b.seen if "crossed" in first]
+
+    run(test)
