--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -270,9 +270,11 @@
             log.error("a request can't be sent: %s", error)
             attempt.finish(Outcome.NOT_SENT)
             return
-        # Guards against taking a second answer that has come since the pool looked for this request's.
-        if self.kept and unread(self.transport):
-            attempt.finish(Outcome.NOT_SENT)  # it says nothing of the backend
+        # Guards against taking a second answer that has come since the pool looked for this request's, and
+        # against sending into an end: that would count as what may have run.
+        if unread(self.transport):
+            # A kept connection may go stale at any backend; one that has just come up has failed.
+            attempt.finish(Outcome.NOT_SENT if self.kept else Outcome.NO_CONNECTION)
             return
         self.transport.write(b"".join(part for part in parts if part))
         if self.transport.is_closing():  # the write failed, so the last byte was not taken
@@ -315,7 +317,8 @@
 
     def _doubt(self) -> None:
         """The backend ends the connection: a kept one without a byte of the answer had gone stale."""
-        if self.attempt is not None and self.kept and self._whole_timer is None:
+        silent = self._whole_timer is None and not self._interim
+        if self.attempt is not None and self.kept and silent:
             self._pool.distrust(self.endpoint)
 
     def _broken(self) -> None:
@@ -342,8 +345,17 @@
             self._broken()
             return
         # Guards against an answer that begins and never ends, on a connection that stays open.
-        if self.attempt is not None and self._whole_timer is None:
+        if self.attempt is not None:
+            self._time_answer()
+
+    def _time_answer(self) -> None:
+        """Limits the time from an answer's first byte; a backend that says 1xx is still at work."""
+        begun = self._head is not None or bool(self._http.trailing_data[0])
+        if begun and self._whole_timer is None:
             self._whole_timer = self._pool.loop.call_later(WHOLE_S, self._broken)
+        elif not begun and self._whole_timer is not None:
+            self._whole_timer.cancel()
+            self._whole_timer = None
 
     def _next(self) -> bool:
         event = self._http.next_event()
--- a/tests/test_terms_backends.py
+++ b/tests/test_terms_backends.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
+from functools import partial
 from itertools import permutations
 from typing import Any
 
@@ -111,6 +112,7 @@
         self.port: int = self.socket.getsockname()[1]
         self.endpoint = Endpoint(1, ("127.0.0.1", self.port))
         self.wires: list[Wire] = []
+        self.accepts = asyncio.Event()  # until then its connections wait in the system
         self.reads = asyncio.Event()  # it reads nothing while this is not set
         self.reads.set()
         self.seen: list[Message] = []
@@ -124,8 +126,10 @@
 
 
 @asynccontextmanager
-async def bare(handle: Handle) -> AsyncIterator[Bare]:
+async def bare(handle: Handle, accepts: bool = True) -> AsyncIterator[Bare]:
     made, loop = Bare(), asyncio.get_running_loop()
+    if accepts:
+        made.accepts.set()
     tasks: list[asyncio.Task[None]] = []
 
     async def serve(wire: Wire) -> None:
@@ -134,6 +138,7 @@
             await handle(wire, got)
 
     async def accept() -> None:
+        await made.accepts.wait()
         while True:
             accepted, _ = await loop.sock_accept(made.socket)
             made.wires.append(Wire(accepted, made.reads))
@@ -306,6 +311,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("cut", [0, 12])
+def test_a_backend_that_says_1xx_may_work_on_for_as_long_as_any(cut: int, read: bytearray) -> None:
+    """Only the answer itself has to come whole soon after its first byte, as the work is done by then."""
+    interim, good = b"HTTP/1.1 103 x\r\n\r\n", answer(200, b"ok")
+
+    async def test() -> None:
+        clock = SteppedClock()
+        async with bare(says(interim[:cut])) as b:
+            pool = Pool(0.25, 30.0, 10)
+            out = Out(pool, b.endpoint)
+            await until(lambda: len(read) == cut and len(b.seen) == 1)
+            b.wires[0].say(interim[cut:])
+            await until(lambda: len(read) == len(interim))
+            clock.step(10 * upstream.WHOLE_S)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            b.wires[0].say(good[:-1])
+            await until(lambda: read.endswith(b"o") or bool(out.ends))
+            assert not out.ends
+            clock.step(upstream.WHOLE_S)  # now its time runs
+            assert await out.end() == (Outcome.RESET, None)
+            out = Out(pool, b.endpoint)
+            await until(lambda: len(b.seen) == 2)
+            b.wires[1].say(interim[cut:])
+            clock.step(10 * upstream.WHOLE_S)
+            b.wires[1].say(good)
+            assert await out.end() == (Outcome.OK, OK)
+            pool.close()
+
+    run(test)
+
+
 @pytest.mark.parametrize("status", [204, 304])
 @pytest.mark.parametrize(("more", "kept"), [(b"", True), (b"Connection: close\r\n", False)])
 def test_an_answer_that_has_no_body_by_its_status_ends_with_its_head(
@@ -571,6 +608,54 @@
     run(test)
 
 
+# Connections that come up to no use
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("what", ["end", "reset", "answer", "answer, end"])
+def test_a_new_connection_that_has_ended_or_spoken_before_its_request_carries_none(
+    what: str, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It broke before the request's last byte was written: that has surely not run and may go elsewhere."""
+    made = upstream.Connection.connection_made
+
+    def crossed(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(connection, transport)
+        if taken:
+            return
+        [b] = [b for b in backends if b.endpoint.address == connection.endpoint.address]
+        taken.append(Wire(b.socket.accept()[0], asyncio.Event()))
+        if "answer" in what:
+            taken[0].say(answer(200, b"unasked"))
+        if "end" in what:
+            taken[0].end()
+        if what == "reset":
+            taken[0].reset()
+        for b in backends:
+            b.accepts.set()
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", crossed)
+    taken: list[Wire] = []
+    backends: list[Bare] = []
+
+    async def test() -> None:
+        handle = says(answer(200, b"served"))
+        async with (
+            bare(handle, accepts=False) as a,
+            bare(handle, accepts=False) as b,
+            proxy(entry("s-1", a.port), entry("s-2", b.port)) as p,
+        ):
+            backends[:] = [a, b]
+            line, _, body = await p.ask(call(kind, id="r1"))
+            assert line.split()[1] == "200" and body == b"served"
+            assert a.ids + b.ids == ["r1"]
+            if not taken[0].closed:
+                assert taken[0].socket.recv(1) == b""  # nothing was written
+                taken[0].socket.close()
+
+    run(test)
+
+
 # Connections that come up late
 
 
@@ -923,3 +1008,60 @@
                 pool.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("moment", ["coming", "made", "next turn"])
+def test_an_attempt_has_one_outcome_whatever_crosses_its_connection(
+    moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All that may end it, in each order of two, as its connection comes up: and nothing is sent."""
+    made = upstream.Connection.connection_made
+    crossing: list[Callable[[], None]] = []
+
+    def connection_made(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(connection, transport)
+        if crossing and moment == "made":
+            crossing.pop()()
+        elif crossing and moment == "next turn":
+            asyncio.get_running_loop().call_soon(crossing.pop())
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", connection_made)
+
+    def both(one: Callable[[], None], two: Callable[[], None]) -> None:
+        one()
+        two()
+
+    outcomes = {
+        "time out": Outcome.NO_CONNECTION,
+        "cancel": Outcome.CANCELLED,
+        "withdraw": Outcome.NOT_SENT,
+        "drain": Outcome.NOT_SENT,
+    }
+
+    async def test() -> None:
+        async with bare(says(answer(200, b"ok"))) as b:
+            for first, second in permutations(outcomes, 2):
+                for request in (REQUEST, ONCE):
+                    pool = Pool(0.25, 30.0, 10)
+                    out = Out(pool, b.endpoint, replace(request, target=b"/crossed"))
+                    ends: dict[str, Callable[[], None]] = {
+                        "time out": out.attempt._timed_out,
+                        "cancel": out.attempt.cancel,
+                        "withdraw": out.attempt.withdraw,
+                        "drain": partial(pool.bar, b.endpoint),
+                    }
+
+                    cross = partial(both, ends[first], ends[second])
+                    if moment == "coming":
+                        await asyncio.sleep(0)  # the connect has begun
+                        cross()
+                    else:
+                        crossing.append(cross)
+                    assert await out.end() == (outcomes[first], None), (first, second)
+                    for _ in range(3):  # what would come of it comes before the end of these
+                        assert (await Out(pool, b.endpoint, request).end())[0] is Outcome.OK
+                    assert len(out.ends) == 1
+                    pool.close()
+            assert not [first for first, _, _ in b.seen if "crossed" in first]
+
+    run(test)
