Know from the list until when all backends are cold

Cause: Balancer._open went through all backends that are up, and through the capacity of each, for each cold backend that it was asked about. A call at a balancer that knows 880 cold backends looked at more than 2,600, again at each look at what is held.

Change: the list says how many are up and when the first of them is warm; both are worked out once as it comes. Decisions are the same.

Ruled out: a backend that warms up without news of the list: the moment is kept, not the answer.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -163,10 +163,14 @@
 
     def capacity(self, now: int, rules: i.Rules) -> float:
         """The share of its full capacity that it surely has: rising evenly while it is cold."""
-        age = now - self.entry.since_us
-        if self.entry.since_us <= 0 or age >= rules.cold_us:
+        if now >= self.warm_at(rules):
             return 1.0
-        return rules.start_capacity + (1.0 - rules.start_capacity) * max(0, age) / rules.cold_us
+        age = max(0, now - self.entry.since_us)
+        return rules.start_capacity + (1.0 - rules.start_capacity) * age / rules.cold_us
+
+    def warm_at(self, rules: i.Rules) -> int:
+        """When it surely has all of its capacity, microseconds."""
+        return self.entry.since_us + rules.cold_us if self.entry.since_us > 0 else 0
 
     def load(self, now: int) -> int:
         """Own calls in flight, overdue ones twice, failed ones as long as their class usually takes.
@@ -318,6 +322,8 @@
         self.look_timer = 0
         self.serial = 0
         self.purse = RETRY_PURSE
+        self.ups = 0  # backends that are up
+        self.cold_until = 0  # the first of them is warm then
         self.fan = 1.0  # balancers that have each backend in their subset
         self.room = 0.0  # own calls in flight a backend may have; none: no list has come
         self.starved = False  # a request has found no room since the room last grew
@@ -376,12 +382,11 @@
         # Guards against pushing a cold backend over. Each balancer sends it no more than the stated
         # multiple of its capacity as measured in what warm ones get from this same balancer; as the
         # others do likewise, the sum keeps to the budget without a word between them.
-        up = [s for s in self.servers.values() if s.entry.condition is i.Condition.UP]
-        if all(s.capacity(now, rules) < 1.0 for s in up):
+        if now < self.cold_until:
             # No warm one tells what a backend takes, and own sends are all held down by this very
             # budget: one call at a time goes no faster than the backend answers.
             return server.load(now) < 1
-        rate = self._send_rate(now) / len(up)
+        rate = self._send_rate(now) / self.ups
         rate = COLD_SAFETY * rules.fall_multiple * capacity * max(rate, 1.0 / rules.fall_us)
         server.tokens = min(COLD_BURST, server.tokens + (now - server.tokens_at) * rate)
         server.tokens_at = now
@@ -769,6 +774,8 @@
         up = sorted(
             (s for s in self.servers.values() if s.entry.condition is i.Condition.UP), key=lambda s: s.rank
         )
+        self.ups = len(up)
+        self.cold_until = min((s.warm_at(self.settings.rules) for s in up), default=0)
         # Guards against uneven load: subsets drawn one by one leave some backends to nobody and others
         # to many. Here each takes an arc of one mixed ring, the arcs starting at even distances.
         instances = max(1, self.settings.instances)
