Hold failing cold backends to their budget where all are cold

Cause: with no warm backend Balancer._open let each have one call at a time (`return server.load(now) < 1`), which goes no faster than it answers. One that fails or refuses answers within milliseconds, and only its ghost held it back, for the usual time of a class, at each of fifteen balancers by itself. Further attempts, up to ten saved up at each balancer, took the first call of every backend in turn.

Change: one call at a time follows an answered one, or is the first. The first goes without budget only while that makes no more than one call to each backend from all balancers, and for first attempts alone. Everything else has to come from the budget.

Seen to fail: on the old code four sizes and the burst of first calls; with failures as free as answers; with every first call free; with first calls free for further attempts too.

Ruled out: no call at all without budget: a new balancer knows no rate of its own and would serve nobody.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -158,6 +158,7 @@
         self.asked_at = 0
         self.ask_wait = 0  # the next question comes no sooner after the last
         self.missed = 0  # questions without an answer, in a row
+        self.served: bool | None = None  # was its last call answered? None: none has ended yet
         self.tokens = 0.0  # sends that a cold backend may get now
         self.tokens_at = 0
 
@@ -368,7 +369,7 @@
 
     # Picker
 
-    def _open(self, now: int, server: Server) -> bool:
+    def _open(self, now: int, server: Server, further: bool = False) -> bool:
         """May this backend be sent a call now?"""
         if server.entry.condition is not i.Condition.UP or server.silent or server.load(now) >= server.limit:
             return False
@@ -383,8 +384,14 @@
         # others do likewise, the sum keeps to the budget without a word between them.
         if now < self.cold_until and server in self.subset:
             # No warm one tells what a backend takes, and own sends are all held down by this very
-            # budget: one call at a time goes no faster than the backend answers.
-            return server.load(now) < 1
+            # budget: one call at a time goes no faster than the backend answers. A failing one answers
+            # at any speed, so what follows a failure has to keep to the budget. So have first calls
+            # beyond those that make one to each backend from all balancers.
+            if server.load(now) >= 1:
+                return False
+            few = len(self.out) < max(1.0, len(self.subset) / self.fan)
+            if server.served or (server.served is None and few and not further):
+                return True
         return self._budget(now, server) >= 1.0
 
     def _budget(self, now: int, server: Server) -> float:
@@ -472,7 +479,7 @@
 
     def _send(self, now: int, life: Life) -> bool:
         """Sends the request to a backend it may go to; false where none is open."""
-        pool = [s for s in self._legal(now, life) if self._open(now, s)]
+        pool = [s for s in self._legal(now, life) if self._open(now, s, bool(life.attempts))]
         untried = [s for s in pool if all(a.server is not s for a in life.attempts)]
         if not pool:
             return False
@@ -546,6 +553,7 @@
             d = server.detector
             text = f"epoch {d.epoch} of {server.entry.id}: mean {d.epoch_mean:.2f}, share {server.share:.2f}"
             self.actions.append(i.Log(text))
+        server.served = ok
         if ok:
             cls.learn(event.took_us)
         else:
@@ -713,7 +721,7 @@
             )
             if late or purse < 1.0 or attempt.server.answered_at >= attempt.sent_at:
                 continue
-            if any(s is not attempt.server and self._open(now, s) for s in self._legal(now, life)):
+            if any(s is not attempt.server and self._open(now, s, True) for s in self._legal(now, life)):
                 purse -= 1.0
                 self._abandon(now, attempt)
         if self.out:
@@ -757,6 +765,7 @@
 
     def _abandon(self, now: int, attempt: Attempt) -> None:
         """Gives up waiting for an answer; what follows waits for the attempt's end."""
+        attempt.server.served = False
         attempt.server.sample(attempt.timeout_us / attempt.cls.norm)
         attempt.server.shunned[attempt.cls.settings.name] = now + SHUN_US
         attempt.server.ghosts.append(now + int(attempt.cls.norm))
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -116,7 +116,7 @@
 
 
 def check_the_sum(
-    balancers: int, backends: int, calls: float, cold: str, trouble: str, seed: int, rules: i.Rules
+    balancers: int, backends: int, calls: float, cold: str, trouble: str, rules: i.Rules, seed: int = 1
 ) -> None:
     worst, sent, allowed = cold_fleet(
         balancers, backends, calls, cold, trouble, seed=seed, rules=rules
@@ -142,7 +142,7 @@
 def test_the_parts_of_all_balancers_make_no_more_than_the_budget(
     balancers: int, backends: int, calls: float, cold: str, trouble: str, rules: i.Rules
 ) -> None:
-    check_the_sum(balancers, backends, calls, cold, trouble, 1, rules)
+    check_the_sum(balancers, backends, calls, cold, trouble, rules)
 
 
 def test_a_call_of_its_own_subset_is_sent_where_all_of_that_is_cold() -> None:
@@ -198,3 +198,36 @@
         server.tokens, server.tokens_at = 0.0, hand.now - 100 * MS
         earned.append(hand.balancer._budget(hand.now, server))
     assert 0 < earned[1] * 40 <= 0.21 * earned[0] * hand.balancer.fan
+
+
+# With all cold, backends that fail answer one call at a time as fast as it comes
+ALL_COLD = [
+    (30, 12, 3.0, "all", "burst failing", RULES),
+    (30, 12, 3.0, "all", "burst failing", TIGHT),
+    (30, 6, 0.7, "all", "burst failing", RULES),
+    (30, 6, 3.0, "all", "burst refusing", RULES),
+    (120, 6, 0.3, "all", "burst failing", RULES),
+]
+
+
+@pytest.mark.parametrize(("balancers", "backends", "calls", "cold", "trouble", "rules"), ALL_COLD)
+def test_failing_backends_keep_their_budget_where_all_are_cold(
+    balancers: int, backends: int, calls: float, cold: str, trouble: str, rules: i.Rules
+) -> None:
+    check_the_sum(balancers, backends, calls, cold, trouble, rules)
+
+
+def test_many_balancers_make_no_burst_of_first_calls_where_all_are_cold() -> None:
+    sent = 0
+    for index in range(30):
+        hand = Hand(settings(rules=RULES, instances=30, index=index), backends=0, seed=index)
+        hand.news(*(i.Backend(n, since_us=hand.now) for n in range(6)))
+        sent += sum(len(only(hand.request(f"r{n}"), i.Send)) for n in range(3))
+    assert sent == 30  # one each, and not one to each backend from each
+
+
+def test_a_further_attempt_is_no_free_first_call_where_all_are_cold() -> None:
+    hand = Hand(settings(rules=RULES, instances=30), backends=0)
+    hand.news(*(i.Backend(n, since_us=hand.now) for n in range(6)))
+    [send] = only(hand.request("r"), i.Send)
+    assert not only(hand.end(send, i.Outcome.REJECTED, MS), i.Send)
