Use what the budget allows beside one call at a time where all are cold

Cause: with no warm backend in the subset, Balancer._open allowed one call at a time to each and nothing more (`if server.load(now) >= 1: return False`), also where the budget had room. Cold backends answer slowly, and where few balancers know each, one call from each leaves most of their places empty.

Change: beyond that one call the budget decides. A call without budget uses it up too, so the two do not add up.

Seen to fail: the new test on the old code, with 1 call to each backend where it wants 2.

Ruled out: to measure by requests in place of sends, which would serve more still: clients that come again unmarked would raise the budget of all balancers at once.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -384,13 +384,12 @@
         # others do likewise, the sum keeps to the budget without a word between them.
         if now < self.cold_until and server in self.subset:
             # No warm one tells what a backend takes, and own sends are all held down by this very
-            # budget: one call at a time goes no faster than the backend answers. A failing one answers
-            # at any speed, so what follows a failure has to keep to the budget. So have first calls
-            # beyond those that make one to each backend from all balancers.
-            if server.load(now) >= 1:
-                return False
+            # budget. So one call at a time goes without it: no faster than the backend answers. A failing
+            # one answers at any speed, so what follows a failure has to keep to the budget. So have first
+            # calls beyond those that make one to each backend from all balancers.
             few = len(self.out) < max(1.0, len(self.subset) / self.fan)
-            if server.served or (server.served is None and few and not further):
+            free = server.served or (server.served is None and few and not further)
+            if free and server.load(now) < 1:
                 return True
         return self._budget(now, server) >= 1.0
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -254,3 +254,18 @@
     hand.balancer.servers[0].tokens = 0.0
     again = only(hand.event(i.Probed(0, alive=False)), i.Probe)
     assert len(probes) + len(again) == asks
+
+
+def test_the_budget_allows_calls_beside_the_one_at_a_time_where_all_are_cold() -> None:
+    """Answers of cold backends are slow; one call at a time served half of what they could do."""
+    hand = Hand(backends=3)
+    for n in range(300):
+        hand.pass_time(10 * MS)
+        for send in only(hand.request(f"w{n}"), i.Send):
+            hand.end(send, i.Outcome.OK, took=20 * MS)
+    hand.news(*(i.Backend(n, since_us=hand.now) for n in range(3)), version=2)
+    sent = []
+    for n in range(50):
+        sent += [s.backend for s in only(hand.pass_time(10 * MS) + hand.request(f"c{n}"), i.Send)]
+    assert min(sent.count(n) for n in range(3)) >= 2
+    assert len(sent) <= 50 * 3.0 * 0.5
