--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -169,15 +169,20 @@
         self.asked_at = 0
         self.ask_wait = 0  # the next question comes no sooner after the last
         self.missed = 0  # questions without an answer, in a row
-        self.tokens = 1.0  # sends that a cold backend may get now
+        self.served: bool | None = None  # was its last call answered? None: none has ended yet
+        self.tokens = 0.0  # sends that a cold backend may get now
         self.tokens_at = 0
 
     def capacity(self, now: int, rules: i.Rules) -> float:
         """The share of its full capacity that it surely has: rising evenly while it is cold."""
-        age = now - self.entry.since_us
-        if self.entry.since_us <= 0 or age >= rules.cold_us:
+        if now >= self.warm_at(rules):
             return 1.0
-        return rules.start_capacity + (1.0 - rules.start_capacity) * max(0, age) / rules.cold_us
+        age = max(0, now - self.entry.since_us)
+        return rules.start_capacity + (1.0 - rules.start_capacity) * age / rules.cold_us
+
+    def warm_at(self, rules: i.Rules) -> int:
+        """When it surely has all of its capacity, microseconds."""
+        return self.entry.since_us + rules.cold_us if self.entry.since_us > 0 else 0
 
     def load(self, now: int) -> int:
         """Own calls in flight, overdue ones twice, failed ones as long as their class usually takes.
@@ -329,12 +334,13 @@
         self.look_timer = 0
         self.serial = 0
         self.purse = RETRY_PURSE
+        self.cold_until = 0  # the first backend of the subset is warm then
         self.fan = 1.0  # balancers that have each backend in their subset
         self.room = 0.0  # own calls in flight a backend may have; none: no list has come
         self.starved = False  # a request has found no room since the room last grew
         self.used = 0.0  # running share of their good time that answers take
         self.cut_at = 0  # time of the last cut of the room
-        self.sends, self.sends_at = 0.0, 0  # decayed count of own sends, to warm backends and cold
+        self.sends, self.sends_at = 0.0, 0  # decayed count of own first sends, to warm backends and cold
         self.actions: list[i.Action] = []
 
     def start(self, now: int) -> list[i.Action]:
@@ -374,7 +380,7 @@
 
     # Picker
 
-    def _open(self, now: int, server: Server) -> bool:
+    def _open(self, now: int, server: Server, further: bool = False) -> bool:
         """May this backend be sent a call now?"""
         if server.entry.condition is not i.Condition.UP or server.silent or server.load(now) >= server.limit:
             return False
@@ -385,21 +391,38 @@
         if capacity >= 1.0:
             return True
         # Guards against pushing a cold backend over. Each balancer sends it no more than the stated
-        # multiple of its capacity as measured in what warm ones get from this same balancer; as the
+        # multiple of its capacity as measured in what its subset gets from this same balancer; as the
         # others do likewise, the sum keeps to the budget without a word between them.
-        up = [s for s in self.servers.values() if s.entry.condition is i.Condition.UP]
-        if all(s.capacity(now, rules) < 1.0 for s in up):
+        if now < self.cold_until and server in self.subset:
             # No warm one tells what a backend takes, and own sends are all held down by this very
-            # budget: one call at a time goes no faster than the backend answers.
-            return server.load(now) < 1
-        rate = self._send_rate(now) / len(up)
-        rate = COLD_SAFETY * rules.fall_multiple * capacity * max(rate, 1.0 / rules.fall_us)
-        server.tokens = min(COLD_BURST, server.tokens + (now - server.tokens_at) * rate)
+            # budget. So one call at a time goes without it: no faster than the backend answers. A failing
+            # one answers at any speed, so what follows a failure has to keep to the budget. So have first
+            # calls beyond those that make one to each backend from all balancers.
+            few = len(self.out) < max(1.0, len(self.subset) / self.fan)
+            free = server.served or (server.served is None and few and not further)
+            if free and server.load(now) < 1:
+                return True
+        return self._budget(now, server) >= 1.0
+
+    def _budget(self, now: int, server: Server) -> float:
+        """Calls that a cold backend may get from here now."""
+        rules = self.settings.rules
+        # Guards against a least rate of each balancer that is too much of them all: together it is one call.
+        rate = max(self._send_rate(now) / max(1, len(self.subset)), 1.0 / (self.fan * rules.fall_us))
+        if server not in self.subset:  # gets further attempts only, but from all balancers
+            rate *= RETRY_EARN * self.fan / max(1, self.settings.instances)
+        rate *= COLD_SAFETY * rules.fall_multiple * server.capacity(now, rules)
+        server.tokens += (now - server.tokens_at) * rate
         server.tokens_at = now
-        return server.tokens >= 1.0
+        # Guards against many balancers that have each saved up a call: what was not used within the
+        # window lapses. Where a whole call is more than a balancer's part, the fraction that it was
+        # given at the start, drawn by chance, says when it has one.
+        kept = min(COLD_BURST, rate * rules.fall_us)
+        server.tokens -= max(0, math.ceil(server.tokens - 1.0 - kept))
+        return server.tokens
 
     def _send_rate(self, now: int) -> float:
-        """Own sends per microsecond of late."""
+        """Own first sends per microsecond of late: further ones tell nothing of what a backend takes."""
         self.sends *= math.exp((self.sends_at - now) / RATE_TAU_US)
         self.sends_at = now
         return self.sends / RATE_TAU_US
@@ -466,7 +489,7 @@
 
     def _send(self, now: int, life: Life) -> bool:
         """Sends the request to a backend it may go to; false where none is open."""
-        pool = [s for s in self._legal(now, life) if self._open(now, s)]
+        pool = [s for s in self._legal(now, life) if self._open(now, s, bool(life.attempts))]
         untried = [s for s in pool if all(a.server is not s for a in life.attempts)]
         if not pool:
             return False
@@ -479,16 +502,16 @@
         self.out[life.id, len(life.attempts)] = attempt
         life.attempts.append(attempt)
         server.calls.append(attempt)
-        server.tokens -= 1.0
+        server.tokens = max(0.0, server.tokens - 1.0)
         # Guards against many balancers jamming a backend with one call each: a limit below one is kept
         # by a rest after each call, so that by Little's law the mean in flight stays within it.
         server.rests_until = now + int(life.cls.norm / server.limit) if server.limit < 1.0 else 0
-        self._send_rate(now)
-        self.sends += 1.0
-        others = (
-            any(s is not server for s in untried) and len(life.attempts) < self.settings.limits.max_attempts
-        )
-        move = max(0, timeout - int(life.cls.norm)) if others else 0
+        if len(life.attempts) == 1:
+            self._send_rate(now)
+            self.sends += 1.0
+        others = any(s is not server for s in untried)
+        more = len(life.attempts) < self.settings.limits.max_attempts
+        move = max(0, timeout - int(life.cls.norm)) if others and more else 0
         self.actions.append(i.Send(life.id, server.entry.id, timeout, drawn, move))
         self._look_later(now)
         return True
@@ -543,6 +566,7 @@
             d = server.detector
             text = f"epoch {d.epoch} of {server.entry.id}: mean {d.epoch_mean:.2f}, share {server.share:.2f}"
             self.actions.append(i.Log(text))
+        server.served = ok
         if ok:
             cls.learn(event.took_us)
         else:
@@ -692,7 +716,7 @@
             return
         silent = [s for s in self.servers.values() if s.silent]
         for server in dict.fromkeys([*silent, *(a.server for a in self.out.values())]):
-            if server.suspect(now, self._suspect_limit(now)):
+            if server.suspect(now, self._suspect_limit(now)) and self._may_ask(now, server):
                 self._ask(now, server)
         if self.out or silent:
             self._look_later(now)
@@ -714,12 +738,21 @@
             )
             if late or purse < 1.0 or attempt.server.answered_at >= attempt.sent_at:
                 continue
-            if any(s is not attempt.server and self._open(now, s) for s in self._legal(now, life)):
+            if any(s is not attempt.server and self._open(now, s, True) for s in self._legal(now, life)):
                 purse -= 1.0
                 self._abandon(now, attempt)
         if self.out:
             self._look_later(now)
 
+    def _may_ask(self, now: int, server: Server) -> bool:
+        """Guards a cold backend against the questions of many balancers: they count as calls do."""
+        if server.capacity(now, self.settings.rules) >= 1.0:
+            return True
+        if self._budget(now, server) < 1.0:
+            return False
+        server.tokens -= 1.0
+        return True
+
     def _ask(self, now: int, server: Server) -> None:
         server.asking, server.asked_at = True, now
         server.ask_wait = max(ASK_US, 2 * server.ask_wait)
@@ -735,9 +768,10 @@
                     self._compare(now, server, event.holds)
                 continue
             server.missed += 1
-            if not server.silent:
+            if not server.silent and self._may_ask(now, server):
                 self._ask(now, server)
-            else:  # guards against one that has vanished: its connections stay open and bring nothing
+            elif server.silent:
+                # Guards against one that has vanished: its connections stay open and bring nothing.
                 for attempt in list(server.calls):
                     self._abandon(now, attempt)
 
@@ -758,6 +792,7 @@
 
     def _abandon(self, now: int, attempt: Attempt) -> None:
         """Gives up waiting for an answer; what follows waits for the attempt's end."""
+        attempt.server.served = False
         attempt.server.sample(attempt.timeout_us / attempt.cls.norm)
         attempt.server.shunned[attempt.cls.settings.name] = now + SHUN_US
         attempt.server.ghosts.append(now + int(attempt.cls.norm))
@@ -797,6 +832,7 @@
         home = [s for s in ring if not self._away(s)][:size]
         away = [s for s in ring if self._away(s)]
         self.subset = home + away[: max(AWAY_LEAST, size - len(home))]
+        self.cold_until = min((s.warm_at(self.settings.rules) for s in self.subset), default=0)
         before, self.fan = self.fan, max(1.0, instances * len(self.subset) / max(1, len(up)))
         # Guards against all balancers together jamming the backends before the first late answers.
         start = max(LIMIT_START, min(LIMIT_MANY, self.fan))
@@ -824,5 +860,5 @@
             known.entry = entry
             return
         server = Server(entry)
-        server.tokens_at = now
+        server.tokens, server.tokens_at = self.jitter.random(), now
         self.servers[entry.id] = server
