Hold a request for a free backend until half of its useful time is over

Cause: a request that found no free backend was refused after a tenth of its useful time (HOLD_SHARE in decide.py). Change: it waits for half of its useful time. Past half of its time a refusal without an attempt has a price by the protocol, so it comes before that.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -45,7 +45,9 @@
 USED_LEAST = 4.0  # answers in the running mean of the share of their good time that they use, at least
 LIMIT_GROW = 0.5  # calls a backend that the room grows by in a round of answers in good time
 SERVED_ALPHA = 0.02  # weight of a request in the share of its class that is served
-HOLD_SHARE = 0.1  # a request waits here for a free backend for this share of its useful time
+# A request waits here for a free backend for this share of its useful time. Guards against a refusal of what
+# could still be served; past half of its time one costs more than the answer may yet earn.
+HOLD_SHARE = 0.5
 PUMP_US = 20_000  # held requests are looked at this often, microseconds
 RETRY_EARN = 0.2  # further attempts earned by each request: the rest would feed a jam
 RETRY_PURSE = 10.0  # further attempts that can be saved up
--- a/tests/test_failing_and_crowded.py
+++ b/tests/test_failing_and_crowded.py
@@ -210,3 +210,17 @@
         hand.end(send, i.Outcome.NO_CONNECTION, took=1)
         hand.pass_time(500 * MS)
         assert hand.balancer.room >= room
+
+
+@pytest.mark.parametrize(("waits", "served"), [(0.45, True), (0.55, False)])
+def test_a_request_waits_for_a_free_backend_for_half_of_its_useful_time(waits: float, served: bool) -> None:
+    """It is refused at once then, with no attempt: trying again is harmless."""
+    hand = Hand(backends=1)
+    sends: list[i.Send] = []
+    while len(more := only(hand.request(f"r{len(sends)}"), i.Send)) == 1:
+        sends += more
+    done = hand.pass_time(int(waits * hand.balancer.classes["read"].settings.aim_us))
+    waiting = f"r{len(sends)}"
+    assert [a.request for a in only(done, i.Refuse)] == ([] if served else [waiting])
+    done = [action for send in sends for action in hand.end(send, i.Outcome.OK)]
+    assert [a.request for a in only(done, i.Send)] == ([waiting] if served else [])
