Let chance choose who sends a first call where one cold backend has many balancers

Cause: the first call to a cold backend went without budget from every balancer with nothing else out (`few` in Balancer._open). Where the list names one cold backend before any other, that is all of them at once: 200 balancers sent 200 held requests to one backend.

Change: as a backend comes to be known, a balancer draws by chance whether its first call goes without budget, so that five do from all balancers together. With five balancers for each backend or fewer nothing changes.

Seen to fail: the new test on the old code, with 200 sends where 12 are held.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -69,6 +69,7 @@
 
 # Membership
 COLD_SAFETY = 0.7  # share of a cold backend's budget that is used
+FIRST_CALLS = 5.0  # first calls to a cold backend without budget, from all balancers; chance says from which
 COLD_BURST = 2.0  # sends to a cold backend that may follow each other at once
 RATE_TAU_US = 2_000_000  # memory of the rate of own sends, microseconds
 PUSHED_US = 100_000  # where lists are pushed, the watch is opened this often, microseconds
@@ -159,6 +160,7 @@
         self.ask_wait = 0  # the next question comes no sooner after the last
         self.missed = 0  # questions without an answer, in a row
         self.served: bool | None = None  # was its last call answered? None: none has ended yet
+        self.luck = 0.0  # drawn by chance, 0 to 1, as it came to be known
         self.tokens = 0.0  # sends that a cold backend may get now
         self.tokens_at = 0
 
@@ -387,7 +389,8 @@
             # budget. So one call at a time goes without it: no faster than the backend answers. A failing
             # one answers at any speed, so what follows a failure has to keep to the budget. So have first
             # calls beyond those that make one to each backend from all balancers.
-            few = len(self.out) < max(1.0, len(self.subset) / self.fan)
+            each = len(self.subset) / self.fan  # backends for each balancer
+            few = len(self.out) < max(1.0, each) and server.luck < FIRST_CALLS * each
             free = server.served or (server.served is None and few and not further)
             if free and server.load(now) < 1:
                 return True
@@ -843,4 +846,5 @@
             return
         server = Server(entry)
         server.tokens, server.tokens_at = self.jitter.random(), now
+        server.luck = 1.0 - server.tokens
         self.servers[entry.id] = server
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -295,3 +295,14 @@
         sent += [s.backend for s in only(hand.pass_time(10 * MS) + hand.request(f"c{n}"), i.Send)]
     assert min(sent.count(n) for n in range(3)) >= 2
     assert len(sent) <= 50 * 3.0 * 0.5
+
+
+def test_the_first_backend_to_be_up_is_not_sent_a_call_by_every_balancer() -> None:
+    """A list that comes in pieces may name one cold backend first, and all hold requests for it."""
+    sent = 0
+    for index in range(200):
+        hand = Hand(settings(rules=RULES, instances=200, index=index), backends=0, seed=index)
+        hand.request("r")
+        hand.news(i.Backend(0, since_us=hand.now))
+        sent += len(only(hand.done, i.Send))
+    assert 0 < sent <= 12
