Log each reason for a broken watch once in ten seconds, and count the others

Cause: Watch._run logged each break; where lists are pushed a discovery that is down is asked ten times a second, so an outage of two minutes wrote the same line 1,200 times. Change: a reason is logged once in ten seconds, five reasons at the most; the next line after that says how many more breaks there were. Ruled out: a new reason that hides behind an old one; it gets its line.

--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import logging
+import math
 import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -27,6 +28,8 @@
 TEXT_MOST = 4 * 1024 * 1024  # bytes; guards memory against a list without an end
 DEPTH_MOST = 64  # braces and brackets within each other; guards the processor, as each is looked at by itself
 BOOT_MOST_MS = 10**14  # guards against a start in another unit, which would leave its backend cold for good
+TELL_S = 10.0  # seconds within which a reason for a break is logged once
+TELL_MOST = 5  # and as many reasons; the others are counted
 STATES = {
     "in_service": i.Condition.UP,
     "terminating": i.Condition.DRAINING,
@@ -159,6 +162,11 @@
         self._silence_s, self._answer_s = silence_s, answer_s
         self._task: asyncio.Task[None] | None = None
         self.since: int | None = None  # the version that we hold
+        self._told_from, self._untold = (
+            -math.inf,
+            0,
+        )  # when the present spell of breaks began, those not logged
+        self._told: set[str] = set()  # their reasons that have been logged
 
     def start(self) -> None:
         """Opens the watch unless it stands already."""
@@ -176,11 +184,25 @@
             self._task.cancel()
             self._task = None
 
+    def _tell(self, reason: str) -> None:
+        """Logs a break, each reason once in a while: discovery may be down for hours, and is asked often."""
+        now = asyncio.get_running_loop().time()
+        if now - self._told_from >= TELL_S:
+            if self._untold:
+                log.warning("watch on discovery broke %d more times", self._untold)
+            self._told_from, self._untold = now, 0
+            self._told.clear()
+        if reason in self._told or len(self._told) == TELL_MOST:
+            self._untold += 1
+        else:
+            self._told.add(reason)
+            log.warning("watch on discovery broke: %s", reason)
+
     async def _run(self) -> None:
         try:
             await self._follow()
         except (WatchBroken, OSError, TimeoutError, h11.RemoteProtocolError, WireError) as error:
-            log.warning("watch on discovery broke: %s", str(error) or "silent")
+            self._tell(str(error) or "silent")
         except Exception:
             log.exception("watch on discovery failed")
         self._task = None
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -7,11 +7,13 @@
 import os
 import signal
 import socket
+import time
 from collections import Counter
 from pathlib import Path
 
 import pytest
 
+from snowvalve.net.discovery import TELL_MOST, TELL_S
 from tests.net_helpers import (
     WATCH_HEAD,
     Peer,
@@ -51,7 +53,7 @@
             writer.close()
 
     async def test() -> None:
-        asked = asyncio.Event()
+        asked, began = asyncio.Event(), time.monotonic()
 
         async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
@@ -96,6 +98,8 @@
                 lines = [*said, *(await reading).decode().splitlines()]
                 kinds = Counter("watch" if "watch on discovery" in line else "other" for line in lines)
                 assert kinds["other"] <= LINES, lines
+                spells = 1 + int((time.monotonic() - began) / TELL_S)
+                assert kinds["watch"] <= spells * (TELL_MOST + 1), lines
                 assert not any("Traceback" in line or "descriptor" in line for line in lines)
 
     run(test)
@@ -130,3 +134,35 @@
             assert sum("draining" in line for line in lines()) == 1
 
     run(test)
+
+
+def test_a_discovery_that_stays_away_is_logged_a_few_times_and_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """It is asked ten times a second where lists are pushed."""
+    caplog.set_level(logging.INFO, logger="snowvalve.net.discovery")
+    broke, ahead = 0, 0.0
+
+    async def test() -> None:
+        async def refuse(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal broke
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(503))
+            broke += 1
+
+        nonlocal ahead
+        async with peer(refuse) as d, proxy(discovery=d.port) as p:
+            clock = SteppedClock()
+            while broke < 250:
+                await asyncio.sleep(0)
+                if p.driver._watch._task is None:
+                    clock.step(0.1)
+            ahead = clock.ahead
+
+    run(test)
+    lines = [r.getMessage() for r in caplog.records]
+    named = [line for line in lines if line.endswith("broke: status 503")]
+    counted = [int(line.split()[4]) for line in lines if "more times" in line]
+    spells = 1 + int(ahead / TELL_S)
+    assert len(named) + len(counted) == len(lines) and len(named) == len(counted) + 1 <= spells
+    assert broke - 100 < len(named) + sum(counted) <= broke
