Name the module's parts by the field's terms: retry budget, queue, concurrency limit, time left

No change of behaviour. purse: retry budget; room: concurrency limit; held and pump: queue; ghosts and shunned: penalties and cool-down; patience: time left; loose connections: unused ones; beat: heartbeat. The wire's own words stay where they are read.

--- a/snowvalve/benchlink.py
+++ b/snowvalve/benchlink.py
@@ -53,7 +53,7 @@
     return i.Request(
         id=need(e, "msgId", str, "REQ."),
         class_name=need(e, "profile", str, "REQ."),
-        patience_us=need(e, "patienceLeftUs", int, "REQ."),
+        time_left_us=need(e, "patienceLeftUs", int, "REQ."),
         tenant=owner if isinstance(owner, str) else None,
         retry=bool(optional(e, "bitmap", 0, "REQ.") & RETRY_BIT),
     )
--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -39,18 +39,20 @@
 LIMIT_START = 4.0  # calls a backend may have in flight before anything is known of it, from all balancers
 LIMIT_MANY = 10.0  # the same where many balancers share it, so that each can have up to one
 LIMIT_LEAST = 1.0  # the least calls a backend may have in flight, from all balancers
-JAM = 1.6  # the room falls below one call of each balancer where answers take this many times as long as good
-LIMIT_CUT = 0.9  # the room is multiplied by this when an answer comes late
+JAM = (
+    1.6  # the limit falls below one call of each balancer where answers take this many times as long as good
+)
+LIMIT_CUT = 0.9  # the limit is multiplied by this when an answer comes late
 GOOD_SHARE = 0.38  # an answer is in good time within this share of its aim
 USED_LEAST = 4.0  # answers in the running mean of the share of their good time that they use, at least
-LIMIT_GROW = 0.5  # calls a backend that the room grows by in a round of answers in good time
+LIMIT_GROW = 0.5  # calls a backend that the limit grows by in a round of answers in good time
 SERVED_ALPHA = 0.02  # weight of a request in the share of its class that is served
 # A request waits here for a free backend for this share of its useful time. Guards against a refusal of what
 # could still be served; past half of its time one costs more than the answer may yet earn.
-HOLD_SHARE = 0.5
-PUMP_US = 20_000  # held requests are looked at this often, microseconds
+QUEUE_SHARE = 0.5
+QUEUE_LOOK_US = 20_000  # held requests are looked at this often, microseconds
 RETRY_EARN = 0.2  # further attempts earned by each request: the rest would feed a jam
-RETRY_PURSE = 10.0  # further attempts that can be saved up
+RETRY_BUDGET_MOST = 10.0  # further attempts that can be saved up
 
 # Lost answers
 # A backend is asked where a call has been out for this many times what its class usually takes, and this
@@ -60,7 +62,9 @@
 ALARM_US = 20_000_000  # that while
 REPORT_AGE_US = 700_000  # what it then says may be this old, microseconds
 REPORT_NOISE = 1.2  # and too low by this factor
-SHUN_US = 5_000_000  # one that lost or failed a call of a class is passed over for it this long, microseconds
+COOL_DOWN_US = (
+    5_000_000  # one that lost or failed a call of a class is passed over for it this long, microseconds
+)
 MISSED = 2  # questions without an answer after which it counts as silent: one may meet a pause
 # Where none may be asked, a call out for this many times what its class usually takes is made again
 # elsewhere if its backend has answered nothing at all since it was sent.
@@ -165,8 +169,10 @@
         self.calls: list[Attempt] = []  # own calls in flight
         self.limit = 1.0  # own calls it may have in flight; below one: the part of the time it may have one
         self.rests_until = 0  # no further call before, where the limit is below one
-        self.ghosts: list[int] = []  # until when failed calls still count as in flight
-        self.shunned: dict[str, int] = {}  # until when, by class: it lost or failed a call of that class
+        self.penalties: list[int] = []  # until when failed calls still count as in flight
+        self.cool_down_until: dict[
+            str, int
+        ] = {}  # until when, by class: it lost or failed a call of that class
         self.answered_at = 0  # when it last answered anything
         self.asking = False  # a probe is out
         self.asked_at = 0
@@ -195,9 +201,9 @@
         a failing one: its calls end at once, so it would always look idle and draw all that is held.
         """
         overdue = sum(now - call.sent_at > OVERDUE * call.cls.norm for call in self.calls)
-        if self.ghosts:
-            self.ghosts = [until for until in self.ghosts if until > now]
-        return len(self.calls) + overdue + len(self.ghosts)
+        if self.penalties:
+            self.penalties = [until for until in self.penalties if until > now]
+        return len(self.calls) + overdue + len(self.penalties)
 
     @property
     def silent(self) -> bool:
@@ -232,7 +238,7 @@
         self.answers = 0
         self.asked = 0
         self.served = 1.0  # running share of its requests that got an answer in time
-        self.first_patience = 0  # the longest of a first try
+        self.first_time_left = 0  # the longest of a first try
 
     def learn(self, took_us: int) -> None:
         self.answers += 1
@@ -242,15 +248,15 @@
     def age(self, request: i.Request, margin: int) -> int:
         """The time that its client's earlier tries have used up: what is missing of the deadline.
 
-        Clients may wait for part of it only, in all tries but the last: a patience like that of first
-        tries tells no age. Nothing else does, so no age is made up from the patience of other clients.
+        Clients may wait for part of it only, in all tries but the last: a time left like that of first
+        tries tells no age. Nothing else does, so no age is made up from the time left of other clients.
         """
         if not request.retry:
-            self.first_patience = max(self.first_patience, request.patience_us)
+            self.first_time_left = max(self.first_time_left, request.time_left_us)
             return 0
-        if abs(request.patience_us - self.first_patience) <= margin:
+        if abs(request.time_left_us - self.first_time_left) <= margin:
             return 0
-        return max(0, self.settings.deadline_us - request.patience_us)
+        return max(0, self.settings.deadline_us - request.time_left_us)
 
     def settle(self, served: bool) -> None:
         self.served += SERVED_ALPHA * (served - self.served)
@@ -299,11 +305,11 @@
 
     def __init__(self, request: i.Request, cls: ClassState, now: int, value: float, margin: int) -> None:
         self.id, self.cls, self.value = request.id, cls, value
-        self.deadline = now + request.patience_us
+        self.deadline = now + request.time_left_us
         # Past its useful time an answer earns nothing, and a late failure costs: end just before.
         self.useful_by = min(self.deadline, now + cls.useful_us - cls.age(request, margin)) - margin
         self.timer = 0  # of its deadline
-        self.hold_until = 0
+        self.queued_until = 0
         self.streaming = False  # the answer has begun: the client has it, and no deadline runs
         self.attempts: list[Attempt] = []
 
@@ -330,20 +336,20 @@
         self.out: dict[tuple[str, int], Attempt] = {}  # attempts without an outcome yet
         self.lost_at = 0  # when an answer was last found to be lost; 0: never
         self.asked: dict[int, list[Server]] = {}  # those with a probe out, by backend
-        self.held: list[tuple[float, int, int, str]] = []  # best first: -value, arrival, order, id
+        self.queue: list[tuple[float, int, int, str]] = []  # best first: -value, arrival, order, id
         self.timers: dict[int, str | None] = {}  # a request's deadline; none: look at the held ones
         self.subscribe_timer = -1
         self.subscribed_at = 0
-        self.pump_set = False
+        self.queue_look_set = False
         self.look_timer = 0
         self.serial = 0
-        self.purse = RETRY_PURSE
+        self.retry_budget = RETRY_BUDGET_MOST
         self.cold_until = 0  # the first backend of the subset is warm then
         self.fan = 1.0  # balancers that have each backend in their subset
-        self.room = 0.0  # own calls in flight a backend may have; none: no list has come
-        self.starved = False  # a request has found no room since the room last grew
+        self.concurrency_limit = 0.0  # own calls in flight a backend may have; none: no list has come
+        self.starved = False  # a request has found no place since the limit last grew
         self.used = 0.0  # running share of their good time that answers take
-        self.cut_at = 0  # time of the last cut of the room
+        self.cut_at = 0  # time of the last cut of the limit
         self.sends, self.sends_at = 0.0, 0  # decayed count of own first sends, to warm backends and cold
         self.actions: list[i.Action] = []
 
@@ -378,8 +384,8 @@
                     self.lives[event.request].streaming = True
             case _:
                 pass
-        if self.held:
-            self._pump(now)
+        if self.queue:
+            self._work_off_queue(now)
         return self.actions
 
     # Picker
@@ -467,8 +473,8 @@
             return
         cls = self.classes.get(request.class_name)
         if cls is None:  # not in the settings: handled with all caution
-            patience = max(1, request.patience_us)
-            cls = ClassState(i.RequestClass(request.class_name, patience, patience))
+            time_left = max(1, request.time_left_us)
+            cls = ClassState(i.RequestClass(request.class_name, time_left, time_left))
             self.classes[request.class_name] = cls
         cls.asked += 1
         value = self._value(cls)
@@ -477,7 +483,7 @@
             value *= self.settings.over_share_worth
         life = Life(request, cls, now, value, self.margin)
         self.lives[life.id] = life
-        self.purse = min(RETRY_PURSE, self.purse + RETRY_EARN)
+        self.retry_budget = min(RETRY_BUDGET_MOST, self.retry_budget + RETRY_EARN)
         life.timer = self._set_timer(max(now, life.deadline - self.margin), life.id)
         self._dispatch(now, life)
 
@@ -487,10 +493,10 @@
             self._finish(life)
         elif not self._send(now, life):
             self.starved = True
-            hold = min(int(HOLD_SHARE * life.cls.useful_us), life.useful_by - int(life.cls.norm) - now)
-            life.hold_until = now + hold
+            hold = min(int(QUEUE_SHARE * life.cls.useful_us), life.useful_by - int(life.cls.norm) - now)
+            life.queued_until = now + hold
             self.serial += 1
-            insort(self.held, (-life.value, now, self.serial, life.id))
+            insort(self.queue, (-life.value, now, self.serial, life.id))
 
     def _send(self, now: int, life: Life) -> bool:
         """Sends the request to a backend it may go to; false where none is open."""
@@ -500,7 +506,7 @@
             return False
         # Guards against a backend that spoils one class alone: its other answers keep its share up.
         name = life.cls.settings.name
-        sound = [s for s in untried if now >= s.shunned.get(name, 0)]
+        sound = [s for s in untried if now >= s.cool_down_until.get(name, 0)]
         server, drawn = self._pick(now, sound or untried or pool)
         timeout = life.useful_by - now
         attempt = Attempt(server, life.cls, now, timeout)
@@ -575,9 +581,9 @@
         if ok:
             cls.learn(event.took_us)
         else:
-            server.ghosts.append(attempt.sent_at + int(cls.norm))
+            server.penalties.append(attempt.sent_at + int(cls.norm))
         if event.outcome in (i.Outcome.ERROR, i.Outcome.TIMEOUT):
-            server.shunned[cls.settings.name] = now + SHUN_US
+            server.cool_down_until[cls.settings.name] = now + COOL_DOWN_US
         # A connection that does not come up tells of that backend alone, and says so at once.
         if event.outcome not in (
             i.Outcome.ERROR,
@@ -594,8 +600,8 @@
         """
         legal = any(s.entry.condition is i.Condition.UP for s in self._legal(now, life))
         price = 0.0 if unsent else 1.0
-        if legal and len(life.attempts) < self.settings.limits.max_attempts and self.purse >= price:
-            self.purse -= price
+        if legal and len(life.attempts) < self.settings.limits.max_attempts and self.retry_budget >= price:
+            self.retry_budget -= price
             self._dispatch(now, life)
         else:
             self._finish(life)
@@ -630,29 +636,35 @@
     # Admission
 
     def _adapt(self, now: int, attempt: Attempt, used: float) -> None:
-        """Opens the room a little while it binds, cuts it once for each round of late answers.
+        """Opens the limit a little while it binds, cuts it once for each round of late answers.
 
-        One room for all backends, split by share: the signal of each backend alone is too noisy, as
+        One limit for all backends, split by share: the signal of each backend alone is too noisy, as
         one heavy request looks like a queue.
         """
         # Guards against chance: of many answers a few are always late together, so the mean runs over
         # one round of those in flight; where there are few it must be quick, and others even it out.
         self.used += (min(used, 2.0 * JAM) - self.used) / max(USED_LEAST, len(self.out))
-        if self.used > (1.0 if self.room > 1.0 else JAM):
+        if self.used > (1.0 if self.concurrency_limit > 1.0 else JAM):
             if attempt.sent_at >= self.cut_at:
-                self.room = max(LIMIT_LEAST / self.fan, self.room * LIMIT_CUT)  # lower, it comes back late
+                self.concurrency_limit = max(
+                    LIMIT_LEAST / self.fan, self.concurrency_limit * LIMIT_CUT
+                )  # lower, it comes back late
                 self.cut_at = now
         elif self.starved or 1.0 <= attempt.server.limit - 1 <= len(attempt.server.calls) + 1:
-            self.room += LIMIT_GROW / self.fan / max(1.0, self.room * len(self.subset))
+            self.concurrency_limit += (
+                LIMIT_GROW / self.fan / max(1.0, self.concurrency_limit * len(self.subset))
+            )
             self.starved = False
         self._split()
 
     def _split(self) -> None:
-        """Gives each backend its part of the room."""
+        """Gives each backend its part of the limit."""
         mean = sum(s.share for s in self.subset) / max(1, len(self.subset))
         for server in self.subset:
             # A low share alone rests no backend: the draws lower it already, and it must be seen to recover.
-            server.limit = max(min(1.0, self.room), self.room * min(1.0, server.share / mean))
+            server.limit = max(
+                min(1.0, self.concurrency_limit), self.concurrency_limit * min(1.0, server.share / mean)
+            )
 
     def _value(self, cls: ClassState) -> float:
         """What an answer adds to the goal for each microsecond that it takes."""
@@ -664,25 +676,25 @@
             value += self.settings.least_class * asked / cls.asked
         return value / cls.norm
 
-    def _pump(self, now: int) -> None:
+    def _work_off_queue(self, now: int) -> None:
         """Sends held requests as backends come free, the most valuable first; ends those due."""
-        waiting = self.held
-        self.held = []
+        waiting = self.queue
+        self.queue = []
         free = True
         for entry in waiting:
             life = self.lives.get(entry[3])
             if life is None:
                 continue
-            if now >= life.hold_until:
+            if now >= life.queued_until:
                 self._finish(life)
             elif free and self._send(now, life):
                 continue
             else:
                 free = free and any(a.may_have_run for a in life.attempts)
-                self.held.append(entry)
-        if self.held and not self.pump_set:
-            self.pump_set = True
-            self._set_timer(now + PUMP_US, None)
+                self.queue.append(entry)
+        if self.queue and not self.queue_look_set:
+            self.queue_look_set = True
+            self._set_timer(now + QUEUE_LOOK_US, None)
 
     def _set_timer(self, at: int, what: str | None) -> int:
         self.serial += 1
@@ -701,7 +713,7 @@
             self.subscribed_at = now
             self.actions.append(i.Subscribe())
         elif what is None:
-            self.pump_set = False
+            self.queue_look_set = False
         elif what in self.lives and not self.lives[what].streaming:
             self._finish(self.lives[what])
 
@@ -732,7 +744,7 @@
         Guards against a backend that takes calls and answers none: each would hang until its request
         is lost. One that is only slow or crowded goes on answering, and a further copy would crowd it more.
         """
-        purse = self.purse
+        budget = self.retry_budget
         for (id, _), attempt in list(self.out.items()):
             life = self.lives.get(id)
             if life is None or life.streaming or attempt.abandoned or not attempt.hangs(now, SILENT):
@@ -741,10 +753,10 @@
                 now + life.cls.norm > life.useful_by
                 or len(life.attempts) >= self.settings.limits.max_attempts
             )
-            if late or purse < 1.0 or attempt.server.answered_at >= attempt.sent_at:
+            if late or budget < 1.0 or attempt.server.answered_at >= attempt.sent_at:
                 continue
             if any(s is not attempt.server and self._open(now, s, True) for s in self._legal(now, life)):
-                purse -= 1.0
+                budget -= 1.0
                 self._abandon(now, attempt)
         if self.out:
             self._look_later(now)
@@ -799,8 +811,8 @@
         """Gives up waiting for an answer; what follows waits for the attempt's end."""
         attempt.server.served = False
         attempt.server.sample(attempt.timeout_us / attempt.cls.norm)
-        attempt.server.shunned[attempt.cls.settings.name] = now + SHUN_US
-        attempt.server.ghosts.append(now + int(attempt.cls.norm))
+        attempt.server.cool_down_until[attempt.cls.settings.name] = now + COOL_DOWN_US
+        attempt.server.penalties.append(now + int(attempt.cls.norm))
         attempt.abandoned = True
         key = next(key for key, out in self.out.items() if out is attempt)
         self.actions.append(i.Cancel(*key))
@@ -841,7 +853,9 @@
         before, self.fan = self.fan, max(1.0, instances * len(self.subset) / max(1, len(up)))
         # Guards against all balancers together jamming the backends before the first late answers.
         start = max(LIMIT_START, min(LIMIT_MANY, self.fan))
-        self.room = (self.room * before if self.room else start) / self.fan
+        self.concurrency_limit = (
+            self.concurrency_limit * before if self.concurrency_limit else start
+        ) / self.fan
         self._split()
 
     def _ask_again(self, now: int) -> None:
--- a/snowvalve/interface.py
+++ b/snowvalve/interface.py
@@ -193,11 +193,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A request that now wants exactly one final answer within its patience."""
+    """A request that now wants exactly one final answer within the time left."""
 
     id: str
     class_name: str
-    patience_us: int
+    time_left_us: int
     tenant: str | None = None
     retry: bool = False  # the client has tried before, and says so
 
--- a/snowvalve/net/discovery.py
+++ b/snowvalve/net/discovery.py
@@ -19,9 +19,9 @@
 
 log = logging.getLogger(__name__)
 
-# What a silent watch misses counts as told after 6 s, and 4 s after a move. So one that misses a beat, due
-# every 2 s, has another second. The first text is due at once where lists are pushed, as the agent is on this
-# machine; where they are asked for, the call first waits its turn, for 2 s before it fails.
+# What a silent watch misses counts as told after 6 s, and 4 s after a move. So one that misses a heartbeat,
+# which comes every 2 s, has one more second. The first text is due at once where lists are pushed, as the
+# agent is on this machine; where they are asked for, the call first waits its turn, for 2 s before it fails.
 SILENCE_S = 3.0
 PUSHED_S = 1.0
 ASKED_S = 2.5
@@ -105,7 +105,7 @@
 
 
 class Texts:
-    """Cuts what comes into lists and beats. A list may be indented, so its braces tell where it ends."""
+    """Cuts what comes into lists and heartbeats. A list may be indented, so its braces tell where it ends."""
 
     _OUTSIDE = re.compile(rb'[][{}"\n]')  # of a string
     _INSIDE = re.compile(rb'["\\]')
@@ -117,7 +117,7 @@
         self._in_string = False
 
     def take(self, data: bytes) -> Iterator[bytes]:
-        """The text of each list that is whole now, and an empty one for each beat."""
+        """The text of each list that is whole now, and an empty one for each heartbeat."""
         self._text += data
         while found := (self._INSIDE if self._in_string else self._OUTSIDE).search(self._text, self._seen):
             self._seen = found.end()
--- a/snowvalve/net/driver.py
+++ b/snowvalve/net/driver.py
@@ -42,7 +42,7 @@
     """A request as it came in. `answer` is called at most once, and never after `Driver.gone`."""
 
     class_name: str
-    patience_us: int  # from the moment of its last byte
+    time_left_us: int  # from the moment of its last byte
     tenant: str | None
     retry: bool
     method: bytes
@@ -113,12 +113,12 @@
         self._serial += 1
         key = str(self._serial)
         self._callers[key] = caller
-        patience = caller.patience_us - LAG_MARGIN_US
+        time_left = caller.time_left_us - LAG_MARGIN_US
         if self._stop_by_us is not None:
-            patience = min(patience, self._stop_by_us - self._clock.now_us())
+            time_left = min(time_left, self._stop_by_us - self._clock.now_us())
         # Guards against a fault that loses the module's own timer: it runs out a little earlier.
-        caller.overdue = self._loop.call_later(max(0, patience) / 1e6, self._overdue, key)
-        self._feed(i.Request(key, caller.class_name, max(1, patience), caller.tenant, caller.retry))
+        caller.overdue = self._loop.call_later(max(0, time_left) / 1e6, self._overdue, key)
+        self._feed(i.Request(key, caller.class_name, max(1, time_left), caller.tenant, caller.retry))
         return key
 
     def _overdue(self, key: str) -> None:
--- a/snowvalve/net/frontend.py
+++ b/snowvalve/net/frontend.py
@@ -74,9 +74,9 @@
         self.most = most
         self.loop = asyncio.get_running_loop()
         self.open: set[CallerConnection] = set()
-        # Those that may make room for others, the longest waiting first. Loose ones have not brought a
+        # Those that may make room for others, the longest waiting first. Unused ones have not brought a
         # request yet or were turned away, idle ones have got an answer and may ask again.
-        self.loose: dict[CallerConnection, None] = {}
+        self.unused: dict[CallerConnection, None] = {}
         self.idle: dict[CallerConnection, None] = {}
         self.ids: set[bytes] = set()  # of the requests that are open
         # Those with a request open that are not read, so that the event loop does not see them end.
@@ -155,19 +155,19 @@
         if len(self.open) >= self.most:  # guards our descriptors
             # A flood of silent connections closes its own, not those of usual clients, once it has half of
             # the room; below that, one that has just come is left the time to bring its request.
-            flood = 2 * len(self.loose) >= self.most
-            those = chain(self.loose, self.idle) if flood else chain(self.idle, self.loose)
+            flood = 2 * len(self.unused) >= self.most
+            those = chain(self.unused, self.idle) if flood else chain(self.idle, self.unused)
             spare = next((c for c in those if not (c.brings_more or c.writes)), None)
             if spare is not None:
                 self.left(spare)
                 spare.transport.abort()
         self.open.add(newcomer)
-        self.loose[newcomer] = None
+        self.unused[newcomer] = None
         return len(self.open) > self.most
 
     def stands(self, connection: CallerConnection, among: dict[CallerConnection, None] | None) -> None:
         """A connection may make room for others as the last among these, or none: it has a request open."""
-        self.loose.pop(connection, None)
+        self.unused.pop(connection, None)
         self.idle.pop(connection, None)
         if among is not None and connection in self.open:
             among[connection] = None
@@ -184,7 +184,7 @@
         """
         self.closing = True
         now = self.loop.time()
-        for connection in [*self.loose, *self.idle]:
+        for connection in [*self.unused, *self.idle]:
             if connection.idle and not connection.brings_more and not connection.just_came(now):
                 connection.transport.close()
 
@@ -445,7 +445,7 @@
         caller = Caller(
             class_name=head.class_name,
             # Its time counts from when its last byte came, however long it waited behind another.
-            patience_us=round(1e6 * max(0.0, head.patience_s - (self._front.loop.time() - self._came))),
+            time_left_us=round(1e6 * max(0.0, head.time_left_s - (self._front.loop.time() - self._came))),
             tenant=head.tenant,
             retry=head.retry,
             method=head.method,
@@ -521,6 +521,6 @@
         self._lingering = True
         self._forget_ahead()
         self.transport.resume_reading()
-        self._front.stands(self, self._front.loose)
+        self._front.stands(self, self._front.unused)
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/snowvalve/net/heads.py
+++ b/snowvalve/net/heads.py
@@ -32,7 +32,7 @@
 
     id: bytes
     class_name: str
-    patience_s: float
+    time_left_s: float
     tenant: str | None
     retry: bool
     method: bytes
@@ -91,7 +91,7 @@
     return Head(
         id=id,
         class_name=cls.name,
-        patience_s=longest if deadline is None else min(float(deadline), longest),
+        time_left_s=longest if deadline is None else min(float(deadline), longest),
         tenant=None if owner is None else owner.decode("latin-1"),
         retry=fields.get(b"req-retry") == b"1",
         method=head.method,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -50,9 +50,9 @@
         self.event(i.ListNews(form, version, entries))
 
     def request(
-        self, id: str, cls: str = "read", patience: int = 5 * S, retry: bool = False
+        self, id: str, cls: str = "read", time_left: int = 5 * S, retry: bool = False
     ) -> list[i.Action]:
-        return self.event(i.Request(id, cls, patience, retry=retry))
+        return self.event(i.Request(id, cls, time_left, retry=retry))
 
     def end(self, send: i.Send, outcome: i.Outcome, took: int = 50 * MS, attempt: int = 0) -> list[i.Action]:
         ok = outcome is i.Outcome.OK
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -62,8 +62,8 @@
     ]
 
 
-def request(id: str, cls: str = "read", patience: int = 5 * S) -> dict[str, Any]:
-    return {"msg": "REQ", "msgId": id, "profile": cls, "patienceLeftUs": patience, "unheardOf": 1}
+def request(id: str, cls: str = "read", time_left: int = 5 * S) -> dict[str, Any]:
+    return {"msg": "REQ", "msgId": id, "profile": cls, "patienceLeftUs": time_left, "unheardOf": 1}
 
 
 def batches(instances: range, steps: int = 60) -> list[dict[str, Any]]:
--- a/tests/test_failing_and_crowded.py
+++ b/tests/test_failing_and_crowded.py
@@ -26,7 +26,7 @@
 
 def test_the_room_shrinks_while_answers_come_late_and_grows_back() -> None:
     hand = Hand()
-    rooms = [hand.balancer.room]
+    rooms = [hand.balancer.concurrency_limit]
     for phase, took in enumerate((1500 * MS, 50 * MS)):
         open_: list[i.Send] = []
         for n in range(400):
@@ -35,7 +35,7 @@
             open_ += more
             if len(open_) >= 4 or not more:
                 open_ += only(hand.end(open_.pop(0), i.Outcome.OK, took=took), i.Send)
-        rooms.append(hand.balancer.room)
+        rooms.append(hand.balancer.concurrency_limit)
         while open_:
             open_ += only(hand.end(open_.pop(0), i.Outcome.OK, took=took), i.Send)
     assert rooms[1] == 1.0 < rooms[0]
@@ -48,7 +48,7 @@
     hand.balancer.servers[0].share = 10.0
     hand.balancer._split()
     sends = [s for n in range(40) for s in only(hand.request(f"r{n}"), i.Send)]
-    assert 0 < sum(s.backend == 0 for s in sends) <= hand.balancer.room
+    assert 0 < sum(s.backend == 0 for s in sends) <= hand.balancer.concurrency_limit
 
 
 def test_held_requests_go_by_worth_and_are_refused_when_the_hold_ends() -> None:
@@ -73,7 +73,7 @@
             busy = sends[0]
         hand.pass_time(300 * MS)  # what was held is refused: no class is served well
         for n in range(20):
-            hand.request(f"cheap{n}", "read", patience=1 * MS)  # cannot be answered in time
+            hand.request(f"cheap{n}", "read", time_left=1 * MS)  # cannot be answered in time
         hand.request("twice the worth", "mark")
         hand.request("least served", "read")
         send, *_ = only(hand.end(busy, i.Outcome.OK, took=300 * MS), i.Send)
@@ -97,7 +97,7 @@
     for n in range(60):
         for send in only(hand.request(f"w{n}"), i.Send):
             hand.end(send, i.Outcome.OK, took=S)
-    actions = hand.request("late", patience=500 * MS)
+    actions = hand.request("late", time_left=500 * MS)
     assert only(actions, i.Refuse) == [i.Refuse("late")]
 
 
@@ -105,18 +105,18 @@
     hand = Hand()
     [send] = only(hand.request("first"), i.Send)
     hand.end(send, i.Outcome.OK)
-    [send] = only(hand.request("older", patience=4 * S, retry=True), i.Send)
+    [send] = only(hand.request("older", time_left=4 * S, retry=True), i.Send)
     assert send.timeout_us <= 1 * S
 
 
 def test_a_retry_that_waits_longer_makes_no_first_try_look_old() -> None:
     """Clients wait for the whole of what is left in their last try, for part of the deadline before."""
     hand = Hand()
-    for id, patience, retry in (("a", 27 * S // 10, False), ("b", 45 * S // 10, True)):
-        [send] = only(hand.request(id, patience=patience, retry=retry), i.Send)
+    for id, time_left, retry in (("a", 27 * S // 10, False), ("b", 45 * S // 10, True)):
+        [send] = only(hand.request(id, time_left=time_left, retry=retry), i.Send)
         hand.end(send, i.Outcome.OK)
     for id, retry in (("c", False), ("d", True)):  # cut short alike: no age can be told
-        [send] = only(hand.request(id, patience=27 * S // 10, retry=retry), i.Send)
+        [send] = only(hand.request(id, time_left=27 * S // 10, retry=retry), i.Send)
         assert send.timeout_us > 19 * S // 10
         hand.end(send, i.Outcome.OK)
 
@@ -128,9 +128,9 @@
 
 
 def test_tiny_or_no_patience_is_refused() -> None:
-    for patience in (0, 1, 1500):
+    for time_left in (0, 1, 1500):
         hand = Hand()
-        actions = hand.request("r", "pay", patience)
+        actions = hand.request("r", "pay", time_left)
         assert only(actions, i.Refuse) and not only(actions, i.Send)
 
 
@@ -159,10 +159,10 @@
     hand = Hand(settings(instances=400), backends=40)
     balancer = hand.balancer
     assert balancer.fan == 400 * len(balancer.subset) / 40
-    assert balancer.room * balancer.fan == pytest.approx(LIMIT_MANY)
+    assert balancer.concurrency_limit * balancer.fan == pytest.approx(LIMIT_MANY)
     sent = sends_in(hand, 10, took=400 * MS)
     # By Little's law: room for each of the subset, over the 400 ms that a call takes.
-    assert 0 < sent <= 1.5 * balancer.room * len(balancer.subset) * 10 / 0.4
+    assert 0 < sent <= 1.5 * balancer.concurrency_limit * len(balancer.subset) * 10 / 0.4
 
 
 def test_the_room_falls_below_one_call_only_where_answers_are_far_too_late() -> None:
@@ -170,7 +170,7 @@
     for took in (800 * MS, 1800 * MS):  # later than good; far too late
         hand = Hand(settings(instances=8), backends=4)
         sends_in(hand, 60, took)
-        rooms.append(hand.balancer.room)
+        rooms.append(hand.balancer.concurrency_limit)
     assert rooms[0] == pytest.approx(1.0, abs=0.1)
     assert LIMIT_LEAST / 8 <= rooms[1] < 0.5
 
@@ -205,11 +205,11 @@
 def test_a_connection_that_does_not_come_up_leaves_the_room_of_the_others() -> None:
     hand = Hand(settings(limits=i.Limits(max_attempts=1)))
     for n in range(40):
-        room = hand.balancer.room
+        room = hand.balancer.concurrency_limit
         [send] = only(hand.request(f"r{n}"), i.Send)
         hand.end(send, i.Outcome.NO_CONNECTION, took=1)
         hand.pass_time(500 * MS)
-        assert hand.balancer.room >= room
+        assert hand.balancer.concurrency_limit >= room
 
 
 @pytest.mark.parametrize(("waits", "served"), [(0.45, True), (0.55, False)])
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -280,7 +280,7 @@
             other = Client(p)
             other.send(call(id="other"))
             await until(lambda: len(p.frontend.open) == 2)
-            assert connection._turn_due and connection in p.frontend.loose
+            assert connection._turn_due and connection in p.frontend.unused
             for one, expected in ((client, 200), (other, 503)):
                 reader, writer = await streams(one)
                 assert status(await read_message(reader)) == expected
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -242,7 +242,7 @@
                 writer.write(call(id=f"u{n}"))
                 assert status(await read_message(reader)) == 200
             crowd = [await p.connect() for _ in range(50)]
-            while len(p.frontend.loose) > 4 or len(p.frontend.open) > 8:
+            while len(p.frontend.unused) > 4 or len(p.frontend.open) > 8:
                 await asyncio.sleep(0)
             for n, (reader, writer) in enumerate(usual):
                 writer.write(call(id=f"v{n}"))
@@ -263,7 +263,7 @@
                 writer.write(call(id=f"s{n}"))
                 assert status(await read_message(reader)) == 200
             new = [await p.connect() for _ in range(3)]
-            while len(p.frontend.loose) < 3:
+            while len(p.frontend.unused) < 3:
                 await asyncio.sleep(0)
             for n, (reader, writer) in enumerate(new):
                 writer.write(call(id=f"n{n}"))
@@ -316,7 +316,7 @@
             take = p.driver.request
 
             def listen(caller: Caller) -> str:
-                patience.append(caller.patience_us / 1e6)
+                patience.append(caller.time_left_us / 1e6)
                 return take(caller)
 
             monkeypatch.setattr(p.driver, "request", listen)
@@ -434,7 +434,7 @@
             assert status(await p.ask(call(Req_Deadline="0.6"))) in (502, 503)
             assert loop.time() - began < 1.8  # by its own deadline, not by the class's aim of 2 s
             [request] = [e for e in told if isinstance(e, i.Request)]
-            assert 400_000 < request.patience_us <= 600_000 - LAG_MARGIN_US
+            assert 400_000 < request.time_left_us <= 600_000 - LAG_MARGIN_US
 
     run(test)
 
@@ -533,7 +533,7 @@
             assert status(await p.ask(call())) == 502  # no refusal: coming again would not help
             assert len(b.seen) == 1
             [server] = p.driver._balancer.servers.values()
-            assert server.ghosts == [] and server.detector.mean == 1.0
+            assert server.penalties == [] and server.detector.mean == 1.0
 
     run(test)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -5,7 +5,7 @@
 import pytest
 
 from snowvalve import interface as i
-from snowvalve.decide import COLD_BURST, RETRY_EARN, RETRY_PURSE
+from snowvalve.decide import COLD_BURST, RETRY_BUDGET_MOST, RETRY_EARN
 from tests.helpers import MS, UNSAFE, Hand, S, only, settings
 
 
@@ -20,7 +20,7 @@
 def test_a_keyed_repeat_keeps_within_the_memory(after: int, sent: int) -> None:
     keyed = i.RequestClass("write", 6 * S, 9 * S, repeat=i.Repeat.KEYED, window_us=1 * S)
     hand = Hand(settings(classes=(keyed,)))
-    [send] = only(hand.request("r", "write", patience=9 * S), i.Send)
+    [send] = only(hand.request("r", "write", time_left=9 * S), i.Send)
     hand.now += after
     assert len(only(hand.end(send, i.Outcome.ERROR), i.Send)) == sent
 
@@ -32,7 +32,7 @@
     keyed = i.RequestClass("write", 6 * S, 9 * S, repeat=i.Repeat.KEYED, window_us=1 * S)
     limits = i.Limits(max_attempts=3, connect_timeout_us=250 * MS)
     hand = Hand(settings(classes=(keyed,), limits=limits))
-    [send] = only(hand.request("r", "write", patience=9 * S), i.Send)
+    [send] = only(hand.request("r", "write", time_left=9 * S), i.Send)
     hand.now += after
     assert len(only(hand.end(send, i.Outcome.ERROR), i.Send)) == sent
 
@@ -56,7 +56,7 @@
         assert again.backend != send.backend
 
 
-def test_further_attempts_are_paid_from_a_purse() -> None:
+def test_further_attempts_are_paid_from_a_retry_budget() -> None:
     hand, sends, requests = Hand(), 0, 200
     for n in range(requests):
         pending = only(hand.request(f"r{n}"), i.Send)
@@ -66,7 +66,7 @@
             pending = only(hand.end(pending[0], i.Outcome.REJECTED, took=MS, attempt=attempt), i.Send)
             attempt += 1
         hand.now += 1 * S
-    assert requests < sends <= requests * (1 + RETRY_EARN) + RETRY_PURSE
+    assert requests < sends <= requests * (1 + RETRY_EARN) + RETRY_BUDGET_MOST
 
 
 def test_an_attempt_ends_before_its_answer_would_be_late() -> None:
@@ -102,18 +102,18 @@
 
 def test_failures_that_are_not_late_leave_the_room_alone() -> None:
     hand = Hand()
-    room = hand.balancer.room
+    room = hand.balancer.concurrency_limit
     for n in range(60):
         for send in only(hand.request(f"r{n}", "pay"), i.Send):
             hand.end(send, i.Outcome.ERROR, took=5 * MS)
         hand.now += 1 * S
-    assert hand.balancer.room == room
+    assert hand.balancer.concurrency_limit == room
 
 
 def test_a_busy_balancer_does_not_close_its_room_over_a_few_late_answers() -> None:
     """With the mean over four answers, four of fifty a second were late together in every round."""
     hand = Hand(backends=8)
-    room = hand.balancer.room
+    room = hand.balancer.concurrency_limit
     for n in range(400):
         hand.now += 25 * MS
         hand.request(f"r{n}")
@@ -124,4 +124,4 @@
             backend = hand.balancer.out[busy[0]].server.entry.id
             took = (1900 if late else 300) * MS
             hand.event(i.AttemptEnded(id, number, backend, i.Outcome.OK, took, last=True))
-    assert hand.balancer.room >= room
+    assert hand.balancer.concurrency_limit >= room
--- a/tests/test_picker.py
+++ b/tests/test_picker.py
@@ -116,7 +116,7 @@
     """Of 200 requests, one after another, those that stay in zone a, its backends busy beforehand."""
     hand = Hand(settings(zone="a", cross_zone=price, limits=i.Limits(max_attempts=3)), backends=0)
     hand.news(*ZONES)
-    hand.balancer.room = 20.0
+    hand.balancer.concurrency_limit = 20.0
     hand.balancer._split()
     read = hand.balancer.classes["read"]
     for server in hand.balancer.servers.values():
--- a/tests/test_rules_under_streams.py
+++ b/tests/test_rules_under_streams.py
@@ -156,9 +156,9 @@
         rng = self.rng
         self.serial += 1
         id, cls = f"r{self.serial}", rng.choice((*ALL_CLASSES, UNLISTED))
-        patience = rng.choice((0, 1, 10 * MS, 300 * MS, 2 * S, 5 * S))
-        self.owed[id] = self.known[id] = Owed(cls, self.now + patience, [])
-        self.event(i.Request(id, cls.name, patience))
+        time_left = rng.choice((0, 1, 10 * MS, 300 * MS, 2 * S, 5 * S))
+        self.owed[id] = self.known[id] = Owed(cls, self.now + time_left, [])
+        self.event(i.Request(id, cls.name, time_left))
 
     def change_list(self) -> None:
         rng = self.rng
