Keep an idle connection that was taken by an attempt that had become too late

Cause: Attempt.begin took an idle connection from the pool and dropped what `use` says. Where the process stood still just then for longer than the time for a connection, `use` ends the attempt as too late and returns false: the connection is neither idle nor in use, its idle timer is gone, and it holds a descriptor and one of the backend's places until the backend ends it.

Change: the pool takes it back, as the two other callers of `use` do already.

Result: with the clock moved on as the connection is taken, the new test failed before the change (the connection open and not idle; seen) and passes with it; the connection expires in its own time.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -133,7 +133,8 @@
         # Guards what can't be sent again: a kept connection may have ended with no word of it yet.
         connection = self._pool.take(self.endpoint) if self.request.repeatable else None
         if connection is not None:
-            self.use(connection)
+            if not self.use(connection):
+                self._pool.keep(connection)
         elif self._pool.wait(self):
             self._look_after(self._pool.late_s)
             self._write_timer = self._pool.loop.call_at(self._write_by, self._too_late)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from snowvalve.interface import Outcome
 from snowvalve.net import upstream
-from tests.net_helpers import run
+from snowvalve.net.upstream import Connection, Endpoint, Pool
+from tests.net_helpers import answer, backend, run, until
+from tests.test_connections import Calls, Connects, ids
 from tests.test_terms_backends import keyed_request
 
 
@@ -32,3 +35,36 @@
             assert seen[-1][0] - seen[0][0] <= 100.0
 
     run(test)
+
+
+def test_an_idle_connection_is_kept_where_the_proxy_stands_still_as_it_is_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The attempt ends as too late; the connection has no timer any more, and none would ever close it."""
+
+    async def test() -> None:
+        async with backend(answer(200)) as b:
+            pool = Pool(60.0, 30.0, 10)
+            calls, connects = Calls(pool, b), Connects(pool, [])
+            calls.begin("a")
+            await connects.begun(1)
+            connects.let(0)
+            await calls.until(a=Outcome.OK)
+            await connects.step(upstream.SETTLE_S)
+            take = pool.take
+
+            def stands_still(endpoint: Endpoint) -> Connection | None:
+                connection = take(endpoint)
+                connects.clock.step(61.0)
+                return connection
+
+            with monkeypatch.context() as patched:
+                patched.setattr(pool, "take", stands_still)
+                calls.begin("b", timeout_s=300.0)
+            await calls.until(a=Outcome.OK, b=Outcome.NO_CONNECTION)
+            assert pool._open == set(pool._idle.get(calls.endpoint, ()))
+            await connects.step(31.0)
+            await until(lambda: not pool._open)
+            assert ids(b) == ["a"]
+
+    run(test)
