Work out what one more connection saves in one go over the steps, and exactly

Cause: ConnectTimes.saving searched the 32 times anew for each connection that is coming at each of its steps, of which there are 32 for each of these. By the same line a step was missed where `age + (time - age)` is rounded below `time`: that connection then counted as still coming until the next step, and the saving came out too high.

Change: the steps are sorted once, and each moves one count on.

Ruled out: looks without end. A look that finds nothing to open waits twice as long the next time, and one that opens is bound by the spare connections; both begin at 2 ms.

--- a/snowvalve/net/connect_times.py
+++ b/snowvalve/net/connect_times.py
@@ -42,14 +42,25 @@
         sooner by the integral of S(u) F(u) du, both of which are steps.
         """
         times, count = self._sorted, len(self._sorted)
-        # One that is later than any before tells nothing of its end.
-        known = [(age, left) for age in ages if (left := count - bisect_right(times, age))]
-        steps = {most, *times, *(time - age for age, _ in known for time in times if time > age)}
+        # How many of the times are longer than each age: those by which it may still come up. One that is
+        # later than any before tells nothing of its end.
+        longer = [count - bisect_right(times, age) for age in ages]
+        steps = [(time, -1) for time in times]
+        for number, age in enumerate(ages):
+            steps += [(time - age, number) for time in times[count - longer[number] :]]
+        none_up, new_up = 1.0, 0.0  # S and F
         saved = since = 0.0
-        for until in sorted(step for step in steps if 0.0 < step <= most):
-            none_up = 1.0
-            for age, left in known:
-                none_up *= (count - bisect_right(times, age + since)) / left
-            saved += none_up * bisect_right(times, since) / max(1, count) * (until - since)
-            since = until
-        return saved
+        # In one go over all steps: many may come up at a backend at once, and each attempt looks often.
+        for at, number in sorted(steps):
+            if at >= most:
+                break
+            saved += none_up * new_up * (at - since)
+            since = at
+            if number < 0:
+                new_up += 1.0 / count
+            else:
+                none_up *= 1.0 - 1.0 / longer[number]
+                longer[number] -= 1
+                if longer[number] == 0:
+                    return saved
+        return saved + none_up * new_up * max(0.0, most - since)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right
 from dataclasses import replace
 
 import pytest
@@ -445,6 +446,32 @@
     assert times.usual == 0.5 and times.saving([0.25], 10.0) == 0.0
 
 
+def test_what_one_more_saves_is_the_same_though_moments_differ_by_rounding() -> None:
+    """`age + (time - age)` may be below `time`: a connection then counted as still coming for a step more."""
+    times, (age, longest) = ConnectTimes(), (0.09, 0.34)
+    assert age + (longest - age) < longest
+    for seconds in (0.05, longest):
+        times.add(seconds)
+    assert times.saving([age], 9.0) == pytest.approx(0.5 * (longest - age - 0.05))
+
+
+def test_a_look_at_many_that_are_coming_takes_work_in_proportion(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each attempt that waits looks again and again, and meanwhile the event loop stands still."""
+    searched = 0
+
+    def counted(among: list[float], value: float) -> int:
+        nonlocal searched
+        searched += 1
+        return bisect_right(among, value)
+
+    monkeypatch.setattr("snowvalve.net.connect_times.bisect_right", counted)
+    times, most = ConnectTimes(), 80
+    for n in range(KEPT):
+        times.add(0.005 if n % 3 else 0.1 + n / 100)
+    times.saving([n / 7000 for n in range(most)], 1.5)
+    assert 0 < searched <= 2 * most
+
+
 def test_a_price_of_handshakes_is_read_and_bound() -> None:
     assert settings(handshake=0.03).handshake == 0.03
     with pytest.raises(ValueError, match="handshake"):
