Let an event loop that is late itself see what has come up before it opens another connection

Cause: Attempt._look judged by the clock alone. A connection that stands takes three more turns of the event loop to be used, and a look that falls due in a slow turn runs before them. Where turns were as long as the time after which a connection is late, every attempt without an idle connection opened one more, and where all turns were slow two more, on a healthy backend whose first connection stood all the time. That costs it handshakes and places, costs the proxy more turns, and so it feeds itself; the next step is to leave the backend, as one that can't be reached where nothing was heard of it of late.

Change: a look that is due goes five turns of the event loop round before it judges. With nothing late these turns don't wait for anything.

Result: on a stepped clock, with 1 ms usual and turns of 3, 10 and 50 ms, once or always, 2 and 3 connections before the change (the six tests were seen to fail so), 1 with it.

Ruled out: an answer or a time-out taken for late by a slow turn: what the system has is read before the timers of the same turn, and an answer ends its attempt as it is read.

--- a/snowvalve/net/upstream.py
+++ b/snowvalve/net/upstream.py
@@ -31,6 +31,8 @@
 FRESH_S = 10.0  # a backend that broke a kept connection under a request gets new ones for this long
 LATE = 2.0  # a connection is late after this many times the usual time
 LATE_LEAST_S = 0.002  # and after this at least: an event loop is not quicker
+# Turns of the event loop within which a connection that stands comes to be used: three, and two to spare.
+TURNS_TO_USE = 5
 # Another one is opened where it saves this share of the time left, as it takes some of a backend's work, and
 # besides what the settings say a handshake costs.
 ANOTHER_FROM = 0.02
@@ -121,7 +123,7 @@
         self._connection: Connection | None = None
         self.over = False
         self._timer = pool.loop.call_later(timeout_s, self._timed_out)
-        self._look_timer: asyncio.TimerHandle | None = None
+        self._look_timer: asyncio.Handle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -142,11 +144,14 @@
             self.finish(Outcome.NOT_SENT)  # our own lack of sockets says nothing of the backend
 
     def _look_after(self, seconds: float) -> None:
-        self._look_timer = self._pool.loop.call_later(seconds, self._look, 2.0 * seconds)
+        self._look_timer = self._pool.loop.call_later(seconds, self._look, 2.0 * seconds, TURNS_TO_USE)
 
-    def _look(self, next_s: float) -> None:
+    def _look(self, next_s: float, turns: int) -> None:
         """No connection is here, though they usually are by now."""
-        if not self._pool.another_pays(self):
+        if turns:
+            # Guards against an event loop that is late itself: one may be up that it has not come to yet.
+            self._look_timer = self._pool.loop.call_soon(self._look, next_s, turns - 1)
+        elif not self._pool.another_pays(self):
             self._look_after(next_s)
         elif self._pool.open_another(self):
             self._look_after(self._pool.late_s)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
 
 from snowvalve.interface import Outcome
 from snowvalve.net import upstream
+from snowvalve.net.connect_times import KEPT
 from snowvalve.net.upstream import Connection, Endpoint, Pool
-from tests.net_helpers import answer, backend, run, until
+from tests.net_helpers import SteppedClock, answer, backend, run, until
 from tests.test_connections import Calls, Connects, ids
 from tests.test_terms_backends import keyed_request
 
@@ -68,3 +70,37 @@
             assert ids(b) == ["a"]
 
     run(test)
+
+
+@pytest.mark.parametrize("turn_s", [0.003, 0.01, 0.05])
+@pytest.mark.parametrize("turns", [1, 1000], ids=["one slow turn", "all turns slow"])
+def test_a_connection_that_an_event_loop_is_late_to_see_is_not_taken_for_late(
+    turn_s: float, turns: int
+) -> None:
+    """It stands at once, and any other one would cost the backend a handshake, and the proxy more turns."""
+
+    async def test() -> None:
+        async with backend(answer(200)) as b:
+            pool, clock, begun = Pool(60.0, 30.0, 10), SteppedClock(), 0
+            for _ in range(KEPT):
+                pool._times.add(0.001)
+            connect = pool.connect
+
+            async def counted(endpoint: Endpoint) -> Connection:
+                nonlocal begun
+                begun += 1
+                return await connect(endpoint)
+
+            pool.connect = counted  # type: ignore[method-assign]
+            calls = Calls(pool, b)
+            calls.begin("a", move_s=30.0)
+            slow = turns
+            while not calls.ended:
+                await asyncio.sleep(0)
+                if slow:
+                    clock.step(turn_s)
+                    slow -= 1
+            assert (calls.ended, begun) == ({"a": Outcome.OK}, 1)
+            pool.close()
+
+    run(test)
