--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
 
+from snowvalve.interface import Outcome
 from snowvalve.net import upstream
-from tests.net_helpers import run
+from snowvalve.net.connect_times import KEPT
+from snowvalve.net.upstream import Connection, Endpoint, Pool
+from tests.net_helpers import SteppedClock, answer, backend, run, until
+from tests.test_connections import Calls, Connects, ids
 from tests.test_terms_backends import keyed_request
 
 
@@ -32,3 +37,70 @@
             assert seen[-1][0] - seen[0][0] <= 100.0
 
     run(test)
+
+
+def test_an_idle_connection_is_kept_where_the_proxy_stands_still_as_it_is_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The attempt ends as too late; the connection has no timer any more, and none would ever close it."""
+
+    async def test() -> None:
+        async with backend(answer(200)) as b:
+            pool = Pool(60.0, 30.0, 10)
+            calls, connects = Calls(pool, b), Connects(pool, [])
+            calls.begin("a")
+            await connects.begun(1)
+            connects.let(0)
+            await calls.until(a=Outcome.OK)
+            await connects.step(upstream.SETTLE_S)
+            take = pool.take
+
+            def stands_still(endpoint: Endpoint) -> Connection | None:
+                connection = take(endpoint)
+                connects.clock.step(61.0)
+                return connection
+
+            with monkeypatch.context() as patched:
+                patched.setattr(pool, "take", stands_still)
+                calls.begin("b", timeout_s=300.0)
+            await calls.until(a=Outcome.OK, b=Outcome.NO_CONNECTION)
+            assert pool._open == set(pool._idle.get(calls.endpoint, ()))
+            await connects.step(31.0)
+            await until(lambda: not pool._open)
+            assert ids(b) == ["a"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("turn_s", [0.003, 0.01, 0.05])
+@pytest.mark.parametrize("turns", [1, 1000], ids=["one slow turn", "all turns slow"])
+def test_a_connection_that_an_event_loop_is_late_to_see_is_not_taken_for_late(
+    turn_s: float, turns: int
+) -> None:
+    """It stands at once, and any other one would cost the backend a handshake, and the proxy more turns."""
+
+    async def test() -> None:
+        async with backend(answer(200)) as b:
+            pool, clock, begun = Pool(60.0, 30.0, 10), SteppedClock(), 0
+            for _ in range(KEPT):
+                pool._times.add(0.001)
+            connect = pool.connect
+
+            async def counted(endpoint: Endpoint) -> Connection:
+                nonlocal begun
+                begun += 1
+                return await connect(endpoint)
+
+            pool.connect = counted  # type: ignore[method-assign]
+            calls = Calls(pool, b)
+            calls.begin("a", move_s=30.0)
+            slow = turns
+            while not calls.ended:
+                await asyncio.sleep(0)
+                if slow:
+                    clock.step(turn_s)
+                    slow -= 1
+            assert (calls.ended, begun) == ({"a": Outcome.OK}, 1)
+            pool.close()
+
+    run(test)
