Take no backend for a cold one where the settings know no cold phase

Cause: with coldUs 0 and a start that this proxy's clock sees still to come (the clock is read at the process's start and runs by itself from there), `Server.capacity` in decide.py divided by rules.cold_us. Each request then ended as failed, by the driver's guard, until the start had passed. Lines at fault: `warm_at` and the return of `capacity`. Change: `warm_at` is 0 where cold_us is 0. Test: three backends, coldUs 0, a start 50 ms ahead; a request is sent. Seen to fail without the mend: ZeroDivisionError in `capacity`. Ruled out: coldUs above 0 with a start ahead, also by far. The backend counts as just started, its rate is above zero, and the first calls go without a budget where all are cold.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -192,7 +192,10 @@
 
     def warm_at(self, rules: i.Rules) -> int:
         """When it surely has all of its capacity, microseconds."""
-        return self.entry.since_us + rules.cold_us if self.entry.since_us > 0 else 0
+        # Guards against a clock behind the backend's, where none is ever cold: it sees a start still to come.
+        if self.entry.since_us <= 0 or rules.cold_us == 0:
+            return 0
+        return self.entry.since_us + rules.cold_us
 
     def load(self, now: int) -> int:
         """Own calls in flight, overdue ones twice, failed ones as long as their class usually takes.
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -125,3 +125,10 @@
             took = (1900 if late else 300) * MS
             hand.event(i.AttemptEnded(id, number, backend, i.Outcome.OK, took, last=True))
     assert hand.balancer.concurrency_limit >= room
+
+
+def test_a_start_still_to_come_is_no_cold_one_where_none_are_cold() -> None:
+    """A clock a little behind, and settings that know no cold phase: each request failed until then."""
+    hand = Hand(settings(rules=i.Rules(0.4, 0, 3.0, 1 * S)), backends=0)
+    hand.news(*(i.Backend(n, since_us=hand.now + 50 * MS) for n in range(3)))
+    assert only(hand.request("r"), i.Send)
