Keep no place from held first attempts over one whose attempt was not sent

Cause: `_work_off_queue` in decide.py tries no further entry once one without an attempt that may have run finds no backend open (the line `free = free and any(...)`). Where all of the subset is cold, a further attempt needs budget and a first one does not (`free` in `_open`). So an entry whose attempt was not sent, or did not come to a connection, kept all cheaper entries waiting beside an idle backend, until its hold or theirs was over, and then they were refused. Change: such an entry keeps only further attempts waiting. Each pass over the queue still looks at the backends once for all first attempts, and once for further ones. Test: three cold backends with a call each, one request held, one call ends as not sent; the held one goes to that backend. Ruled out: it does not come up where a backend of the subset is warm, and not for a new request, which is tried by itself as it comes.

--- a/snowvalve/decide.py
+++ b/snowvalve/decide.py
@@ -683,17 +683,19 @@
         """Sends held requests as backends come free, the most valuable first; ends those due."""
         waiting = self.queue
         self.queue = []
-        free = True
+        free = free_further = True
         for entry in waiting:
             life = self.lives.get(entry[3])
             if life is None:
                 continue
             if now >= life.queued_until:
                 self._finish(life)
-            elif free and self._send(now, life):
+            elif free and (free_further or not life.attempts) and self._send(now, life):
                 continue
             else:
-                free = free and any(a.may_have_run for a in life.attempts)
+                # A further attempt finds less open than a first one, so it shuts nothing for those.
+                if not any(a.may_have_run for a in life.attempts):
+                    free, free_further = free and bool(life.attempts), False
                 self.queue.append(entry)
         if self.queue and not self.queue_look_set:
             self.queue_look_set = True
--- a/tests/test_failing_and_crowded.py
+++ b/tests/test_failing_and_crowded.py
@@ -224,3 +224,16 @@
     assert [a.request for a in only(done, i.Refuse)] == ([] if served else [waiting])
     done = [action for send in sends for action in hand.end(send, i.Outcome.OK)]
     assert [a.request for a in only(done, i.Send)] == ([waiting] if served else [])
+
+
+def test_one_whose_attempt_was_not_sent_keeps_no_place_from_those_without_an_attempt() -> None:
+    """All are cold, so its further attempt needs budget. A first one needs none, yet it waited behind it."""
+    hand = Hand(backends=0)
+    hand.news(*(i.Backend(n, since_us=hand.now) for n in range(3)))
+    for server in hand.balancer.subset:
+        server.tokens = server.luck = 0.0
+    sends = [send for n in range(3) for send in only(hand.request(f"r{n}", "pay"), i.Send)]
+    assert len({send.backend for send in sends}) == 3  # one call to each
+    assert not only(hand.request("cheap", "read"), i.Send)
+    after = only(hand.end(sends[0], i.Outcome.NOT_SENT), i.Send)
+    assert [(send.request, send.backend) for send in after] == [("cheap", sends[0].backend)]
