Take whole numbers that are written with a decimal point

Cause: `checked` in settings.py took a float for a value of the wrong kind wherever a whole number is read (the line `not isinstance(value, kind)`), so that "deadlineUs": 500000.0 kept a proxy from starting, and "pod_group": 3.0 or "rev": 41.0 made a list unusable. Change: a float without a fraction is read as the whole number where one is wanted. Test: a configuration with its list, each whole number but the seed written with a decimal point, is read like the plain one. Seen to fail without the mend: ConfigError from `Source.read`.

--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -35,6 +35,8 @@
 
 
 def checked(value: Any, kind: type | tuple[type, ...], name: str) -> Any:
+    if kind is int and isinstance(value, float) and value.is_integer():
+        value = int(value)  # JSON has one kind of number; guards the start against how a whole one is written
     wrong_bool = isinstance(value, bool) and kind is not bool
     if wrong_bool or not isinstance(value, kind):
         raise WireError(f"field {name} has a value of the wrong kind: {value!r:.60}")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -107,6 +107,25 @@
     assert f"field {name_of(path)} " in str(raised.value)
 
 
+def with_whole_floats(value: Any) -> Any:
+    """The same with each whole number written with a decimal point."""
+    if isinstance(value, dict):
+        return {key: with_whole_floats(inner) for key, inner in value.items()}
+    if isinstance(value, list):
+        return [with_whole_floats(inner) for inner in value]
+    return float(value) if type(value) is int else value
+
+
+def test_a_whole_number_may_be_written_with_a_decimal_point(tmp_path: Path) -> None:
+    """JSON has one kind of number; a refusal to start serves nobody."""
+    plain = with_(("settings", "instances"), 3)
+    told = Source(write(tmp_path, plain)).read()
+    seed = plain["seed"]
+    written = {**with_whole_floats(plain), "seed": seed}
+    assert '"instances": 3.0' in json.dumps(written)
+    assert Source(write(tmp_path, written)).read() == told and told.known is not None
+
+
 def test_an_impossible_quota_is_named_as_in_the_file(tmp_path: Path) -> None:
     tenants = [{"name": "a", "quotaPerS": 1}, {"name": "b", "quotaPerS": -1}]
     with pytest.raises(ConfigError, match=r"field settings\.tenants\[1\]\.quotaPerS is negative"):
