Hold that attempts which are never sent end with the number that the settings allow

Cause: none; an attempt that ends as not sent costs no retry budget since its free further attempts came, so `limits.max_attempts` alone bounds them, in `_again` of decide.py. Change: a test, with 1, 3 and 20 attempts allowed and each ending as not sent at once; one refusal follows, and nothing is left of the request. Seen to fail, for all three, with `len(life.attempts) < max_attempts` taken out of `_again`.

--- a/tests/test_failing_and_crowded.py
+++ b/tests/test_failing_and_crowded.py
@@ -237,3 +237,16 @@
     assert not only(hand.request("cheap", "read"), i.Send)
     after = only(hand.end(sends[0], i.Outcome.NOT_SENT), i.Send)
     assert [(send.request, send.backend) for send in after] == [("cheap", sends[0].backend)]
+
+
+@pytest.mark.parametrize("most", [1, 3, 20])
+def test_attempts_that_are_never_sent_end_with_their_number(most: int) -> None:
+    """They cost no retry budget, so that alone would let them go on for ever."""
+    hand = Hand(settings(limits=i.Limits(max_attempts=most, cancel=True)))
+    actions, sends = hand.request("r", "pay"), 0
+    while again := only(actions, i.Send):
+        sends += 1
+        assert sends <= most
+        actions = hand.end(again[0], i.Outcome.NOT_SENT, took=0, attempt=sends - 1)
+    assert sends == most and [a.request for a in only(actions, i.Refuse)] == ["r"]
+    assert not hand.balancer.lives and not hand.balancer.out and not hand.balancer.queue
