Take a seed of any size as a number, as in hexadecimal text

Cause: since numbers from 2**64 on are refused (`checked` in settings.py), so was a seed written as a number of more than 64 bits, and the proxy did not start, which it did before. In text any length was taken. Change: `read_seed` takes a whole number as it is; nothing but the random numbers takes it. Test: seeds of both forms, below zero to 256 bits. Ruled out: other numbers from 2**64 on. They are times, counts or prices, and none of those can be so large.

--- a/snowvalve/__main__.py
+++ b/snowvalve/__main__.py
@@ -104,7 +104,7 @@
                 name=need(named, "name", str),
                 listen=read_address(need(named, "listen", str), "listen", least_port=0),
                 discovery=read_address(need(named, "discovery", str), "discovery"),
-                seed=read_seed(need(named, "seed", (str, int))),
+                seed=read_seed(named),
                 sockets=sockets,
                 connect_timeout_s=connect_timeout_us / 1e6,
                 idle_s=idle_us / 1e6,
@@ -124,11 +124,15 @@
         return None
 
 
-def read_seed(seed: str | int) -> int:
+def read_seed(named: Fields) -> int:
+    seed = named.get("seed")
+    if type(seed) is int:  # of any size: no float or timer takes it
+        return seed
+    text = need(named, "seed", str)
     try:
-        return int(seed, 16) if isinstance(seed, str) else seed
+        return int(text, 16)
     except ValueError:
-        raise WireError(f"field seed is not a hexadecimal number: {seed!r:.60}") from None
+        raise WireError(f"field seed is not a hexadecimal number: {text!r:.60}") from None
 
 
 class Reloader:
--- a/snowvalve/settings.py
+++ b/snowvalve/settings.py
@@ -11,7 +11,7 @@
 
 Fields = dict[str, Any]
 
-NUMBER_MOST = 2**64  # guards against numbers that no float or timer can take; seeds have 64 bits
+NUMBER_MOST = 2**64  # guards against numbers that no float or timer can take
 
 
 class WireError(Exception):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from snowvalve import Balancer
 from snowvalve.__main__ import ConfigError, Reloader, Source
 from tests.net_helpers import Proxy, entry, listing, proxy, run
 from tests.test_process import config, write
@@ -126,6 +127,14 @@
     assert Source(write(tmp_path, written)).read() == told and told.known is not None
 
 
+@pytest.mark.parametrize("seed", [0, -5, 2**64, 2**127, "0", "0x1f", "F" * 64])
+def test_a_seed_may_be_of_any_size(tmp_path: Path, seed: int | str) -> None:
+    """No float or timer takes it, and a proxy that does not start serves nobody."""
+    told = Source(write(tmp_path, {**config(), "seed": seed})).read()
+    assert told.seed == (seed if isinstance(seed, int) else int(seed, 16))
+    Balancer(told.settings, told.seed)
+
+
 def test_an_impossible_quota_is_named_as_in_the_file(tmp_path: Path) -> None:
     tenants = [{"name": "a", "quotaPerS": 1}, {"name": "b", "quotaPerS": -1}]
     with pytest.raises(ConfigError, match=r"field settings\.tenants\[1\]\.quotaPerS is negative"):
