--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -53,7 +53,7 @@
     async def step(self, seconds: float) -> None:
         """Lets time pass, and all that falls due then run."""
         self.clock.step(seconds)
-        for _ in range(5):
+        for _ in range(12):
             await asyncio.sleep(0)
 
 
