--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import tempfile
 import traceback
 from collections.abc import Awaitable, Callable
@@ -33,7 +34,7 @@
     record.say("with the disruption" if is_troubled() else "without the disruption")
     try:
         code = asyncio.run(_play(record, play))
-    except Exception:  # noqa: BLE001 - any failure of the stand-ins means that the case could not run
+    except (Exception, asyncio.CancelledError):  # noqa: BLE001 - the stand-ins failed, or were told to end
         record.say(traceback.format_exc())
         code = COULD_NOT_RUN
     record.say({HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "could not run"}[code])
@@ -41,6 +42,9 @@
 
 
 async def _play(record: Record, play: Play) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         async with asyncio.timeout(TIME_LIMIT_S):
             return HELD if await play(record, Path(folder)) else BROKEN
