--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -122,6 +122,6 @@
 
 
 def test_every_incident_is_in_the_index() -> None:
-    incidents = {page.name for page in ROOT.glob("docs/postmortems/*.md")} - {"README.md"}
-    index = (ROOT / "docs/postmortems/README.md").read_text()
+    incidents = {page.name for page in ROOT.glob("docs/incidents/*.md")} - {"README.md"}
+    index = (ROOT / "docs/incidents/README.md").read_text()
     assert {path for path, _ in LINK.findall(index) if "/" not in path} == incidents
