Let connections to endpoints share the time for received bytes with the clients' ones

Cause: HttpExchange.receive handled all parser events of a read, of up to 256 KiB, at once.

Change: the exchange buffers what was read and handles at most 100 parser events and one head in a step; the connection submits its steps to the scheduler that the client side uses. While bytes wait the connection is not read and the time limit of the response is paused: a valid response of 64 KiB in chunks of one byte takes longer to parse than an endpoint may take to send it. The end of the stream is queued behind the bytes before it, and a stream that has ended is never reused. Reads are 64 KiB into one buffer in place of 256 KiB each, and the parser gets 16 KiB at a time, so that its limit on heads holds (a head of up to 256 KiB passed if it came in one read).

--- a/load_balancer/net/upstream/connection_pool.py
+++ b/load_balancer/net/upstream/connection_pool.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.receive_scheduler import ReceiveScheduler
 from load_balancer.net.upstream.connect_pacing import ConnectPacing
 from load_balancer.net.upstream.connection_queue import ConnectionQueue
 from load_balancer.net.upstream.connection_reuse import ConnectionReuse
@@ -45,6 +46,7 @@
         idle_limit_s: float,
         max_connections: int,
         handshake_cost: float = 0.0,
+        scheduler: ReceiveScheduler | None = None,
     ) -> None:
         """Create an empty pool; requires a running event loop.
 
@@ -53,11 +55,14 @@
             idle_limit_s: Seconds after which an endpoint closes an idle connection.
             max_connections: The limit on open and pending connections to all endpoints together.
             handshake_cost: The cost of a new connection, as a share of a request's priority weight.
+            scheduler: Decides when the bytes received from endpoints are processed; by default one of the
+                pool's own.
         """
         self.loop = asyncio.get_running_loop()
         self.idle = IdleConnections(self.loop, idle_limit_s)
         self.connections = OpenConnections(self.loop, self.idle, max_connections)
-        self.connector = Connector(self.loop, self.connections, connect_timeout_s)
+        scheduler = scheduler or ReceiveScheduler()
+        self.connector = Connector(self.loop, scheduler, self.connections, connect_timeout_s)
         self.pending = PendingConnects(self.loop, self.connector)
         self.waiting = WaitingAttempts()
         self.pacing = ConnectPacing(self.loop, connect_timeout_s, handshake_cost)
--- a/load_balancer/net/upstream/connector.py
+++ b/load_balancer/net/upstream/connector.py
@@ -6,6 +6,7 @@
 import errno
 
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.receive_scheduler import ReceiveScheduler
 from load_balancer.net.socket_state import has_never_connected
 from load_balancer.net.upstream.upstream_connection import ConnectionOwner, UpstreamConnection
 
@@ -14,16 +15,22 @@
     """Opens connections that all report to the same owner."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, owner: ConnectionOwner, connect_timeout_s: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        scheduler: ReceiveScheduler,
+        owner: ConnectionOwner,
+        connect_timeout_s: float,
     ) -> None:
         """Create a connector.
 
         Args:
             loop: The event loop.
+            scheduler: Decides when the bytes received on the connections are processed.
             owner: The owner of the connections.
             connect_timeout_s: The timeout of a connect in seconds.
         """
         self._loop = loop
+        self._scheduler = scheduler
         self._owner = owner
         self._connect_timeout_s = connect_timeout_s
 
@@ -35,7 +42,8 @@
         """
         async with asyncio.timeout(self._connect_timeout_s):
             transport, connection = await self._loop.create_connection(
-                lambda: UpstreamConnection(self._loop, self._owner, endpoint), *endpoint.address
+                lambda: UpstreamConnection(self._loop, self._scheduler, self._owner, endpoint),
+                *endpoint.address,
             )
         if has_never_connected(transport):
             connection.close()
--- a/load_balancer/net/upstream/http_exchange.py
+++ b/load_balancer/net/upstream/http_exchange.py
@@ -6,17 +6,24 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum, auto
 
 import h11
 
 from load_balancer.errors import WireError
 from load_balancer.net.http_messages import MAX_BODY_BYTES, Headers
+from load_balancer.net.receive_scheduler import expected_parsing_s
 from load_balancer.net.upstream.upstream_messages import UpstreamRequest, UpstreamResponse
 
 MAX_HEAD_BYTES = 16 * 1024  # limit on the status line and headers of a response
 # Limit on the digits of a Content-Length: far above any allowed value, and quick to parse.
 MAX_LENGTH_DIGITS = 18
+# Parser events (a head, a part of a body, an end of message) handled in one step. The limit on the body alone
+# would allow tens of thousands.
+MAX_EVENTS_PER_STEP = 100
+# The parser gets this many bytes at a time: it checks its limit on a head only when it needs further bytes.
+MAX_PIECE_BYTES = 16 * 1024
 MAX_INTERIM_RESPONSES = 16  # limit on the interim responses (1xx) before the final response
 STATUS_LINE_PREFIX = b"HTTP/1."  # the first bytes of every response
 
@@ -75,6 +82,20 @@
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._interim_count = 0  # interim responses (1xx) received so far
+        self._unparsed_pieces: deque[bytes] = deque()  # not passed to h11 yet; an empty one is the end
+        self._has_unhandled_events = False  # whether h11 may return further events without further bytes
+        self._expected_partial_event_s = 0.0  # expected time to parse the bytes that h11 has not parsed yet
+
+    @property
+    def has_unprocessed_bytes(self) -> bool:
+        """Whether received bytes, or the end of the stream, wait for the next step."""
+        return self._has_unhandled_events or bool(self._unparsed_pieces)
+
+    @property
+    def expected_event_s(self) -> float:
+        """Expected time to parse the next event in seconds, by the bytes that it may consist of."""
+        expected_s = expected_parsing_s(self._unparsed_pieces[0]) if self._unparsed_pieces else 0.0
+        return expected_s + self._expected_partial_event_s
 
     @property
     def has_interim_response(self) -> bool:
@@ -91,6 +112,7 @@
         self.state = ExchangeState.WRITING
         self._head = None
         self._interim_count = 0
+        self._expected_partial_event_s = 0.0
         self._body.clear()
 
     def request_written(self) -> None:
@@ -99,8 +121,11 @@
             self.state = ExchangeState.AWAITING_RESPONSE
 
     def end(self) -> None:
-        """End the exchange, with or without its response."""
+        """End the exchange, with or without its response, and discard unprocessed bytes."""
         self.state = ExchangeState.IDLE
+        self._has_unhandled_events = False
+        if self._unparsed_pieces:
+            self._unparsed_pieces.clear()
 
     def encode_request(self, request: UpstreamRequest, headers: Headers) -> bytes:
         """Return the encoded bytes of a request.
@@ -119,8 +144,16 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
-    def receive(self, data: bytes) -> UpstreamResponse | None:
-        """Process bytes received from the endpoint; empty `data` means the end of the stream.
+    def receive(self, data: bytes) -> None:
+        """Buffer bytes received from the endpoint; empty `data` means the end of the stream."""
+        if len(data) <= MAX_PIECE_BYTES:
+            self._unparsed_pieces.append(data)
+            return
+        for start in range(0, len(data), MAX_PIECE_BYTES):
+            self._unparsed_pieces.append(data[start : start + MAX_PIECE_BYTES])
+
+    def process(self) -> UpstreamResponse | None:
+        """Process up to `MAX_EVENTS_PER_STEP` parser events of the buffered bytes, with at most one head.
 
         Returns:
             The final response if it is complete, else None.
@@ -129,8 +162,10 @@
             InvalidResponseError: The bytes are not a valid response to the request.
             h11.RemoteProtocolError: The bytes are not valid HTTP/1.1.
         """
-        self._http.receive_data(data)
-        while True:
+        if not self._has_unhandled_events:
+            self._feed_parser()
+        self._has_unhandled_events = True
+        for _ in range(MAX_EVENTS_PER_STEP):
             match self._http.next_event():
                 case h11.Response() as head:
                     self._accept_head(head)
@@ -138,21 +173,35 @@
                     self._accept_body(part)
                 case h11.InformationalResponse():
                     self._accept_interim_response()
+                    break  # the next head may take as long to parse again
                 case h11.EndOfMessage() if self._head is not None:
+                    self._has_unhandled_events = False
                     return self._response(self._head)
                 case _:
                     self._check_response_prefix()
-                    return None
+                    if not self._feed_parser():
+                        self._has_unhandled_events = False
+                        break
+        self._expected_partial_event_s = expected_parsing_s(self._http.trailing_data[0])
+        return None
+
+    def _feed_parser(self) -> bool:
+        """Pass the oldest buffered piece to h11, and return whether there was one."""
+        if not self._unparsed_pieces:
+            return False
+        self._http.receive_data(self._unparsed_pieces.popleft())
+        return True
 
     def finish_cycle(self) -> bool:
         """Prepare for the next request on the same connection.
 
         Returns:
-            False if the connection cannot carry another request, because either side closes it or the
-            endpoint sent bytes after the response.
+            False if the connection cannot carry another request, because either side closes it, the endpoint
+            has ended the stream, or it sent bytes after the response.
         """
         is_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not is_done or self._http.trailing_data[0]:
+        surplus_bytes, has_ended = self._http.trailing_data
+        if not is_done or has_ended or surplus_bytes or self._unparsed_pieces:
             return False
         self._http.start_next_cycle()
         return True
--- a/load_balancer/net/upstream/open_connections.py
+++ b/load_balancer/net/upstream/open_connections.py
@@ -13,6 +13,8 @@
 from load_balancer.net.upstream.idle_connections import IdleConnections
 from load_balancer.net.upstream.upstream_connection import UpstreamConnection
 
+READ_SIZE_BYTES = 64 * 1024  # maximum size of one read; a body of the protocol's maximum size takes two
+
 
 class OpenConnections:
     """The open connections to all endpoints, idle and in use.
@@ -21,6 +23,7 @@
         idle: The idle connections.
         open: All open connections.
         max_connections: The limit on open and pending connections to all endpoints together.
+        read_buffer: The buffer that all connections read into. Each copies its bytes before the next read.
         last_activity_at_s: The last time at which a connection to each enabled endpoint was established or
             received bytes, by the event loop's clock.
     """
@@ -37,6 +40,7 @@
         self.idle = idle
         self.max_connections = max_connections
         self.open: set[UpstreamConnection] = set()
+        self.read_buffer = memoryview(bytearray(READ_SIZE_BYTES))
         self.last_activity_at_s: dict[EndpointAddress, float] = {}
 
     def has_capacity(self, pending_count: int) -> bool:
--- a/load_balancer/net/upstream/upstream_connection.py
+++ b/load_balancer/net/upstream/upstream_connection.py
@@ -1,13 +1,15 @@
 """One connection to an endpoint, which carries one request at a time.
 
 A connection owns its transport and the state of the current exchange. It notifies its owner when it is opened
-or closed and when it receives bytes, and the attempt that uses it when the exchange ends.
+or closed and when it receives bytes, and the attempt that uses it when the exchange ends. The scheduler of
+received bytes decides when they are processed; until then the connection isn't read.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import logging
 import socket
 from typing import Protocol
 
@@ -15,11 +17,14 @@
 
 from load_balancer.messages import Outcome
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.receive_scheduler import ReceiveScheduler, ReceiveState
 from load_balancer.net.upstream.http_exchange import ExchangeState, HttpExchange, InvalidResponseError
 from load_balancer.net.upstream.request_checks import encode_request, reason_not_to_write
 from load_balancer.net.upstream.response_timer import ResponseTimer
 from load_balancer.net.upstream.upstream_messages import UpstreamRequest, UpstreamResponse
 
+log = logging.getLogger(__name__)
+
 # Limit on the time from a response's first byte to its last; the endpoint has finished its work by the first.
 RESPONSE_COMPLETION_TIMEOUT_S = 1.0
 
@@ -27,6 +32,10 @@
 class ConnectionOwner(Protocol):
     """Receiver of the events of a connection."""
 
+    @property
+    def read_buffer(self) -> memoryview:
+        """The buffer that all connections read into; each copies its bytes before the next read."""
+
     def connection_opened(self, connection: UpstreamConnection) -> None:
         """Add an established connection."""
 
@@ -68,10 +77,11 @@
         """
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """One connection to an endpoint.
 
     Attributes:
+        receive_state: The state of the connection in the scheduler of received bytes.
         transport: The transport; set by `connection_made` before the connection is available to other code.
         endpoint: The endpoint.
         attempt: The attempt that uses the connection now, or None.
@@ -82,15 +92,23 @@
     transport: asyncio.Transport
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, owner: ConnectionOwner, endpoint: EndpointAddress
+        self,
+        loop: asyncio.AbstractEventLoop,
+        scheduler: ReceiveScheduler,
+        owner: ConnectionOwner,
+        endpoint: EndpointAddress,
     ) -> None:
         """Create the protocol object of a connection that is about to be opened.
 
         Args:
             loop: The event loop.
+            scheduler: Decides when received bytes are processed.
             owner: The owner, which is notified of events.
             endpoint: The endpoint.
         """
+        self.receive_state = ReceiveState()
+        self._is_reading_paused = False  # while received bytes wait to be processed
+        self._scheduler = scheduler
         self._loop = loop
         self._owner = owner
         self.endpoint = endpoint
@@ -173,18 +191,36 @@
         """Record that the complete request has been written."""
         self._exchange.request_written()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return self._owner.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Copy the bytes that were read."""
+        self.data_received(bytes(self._owner.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Process bytes received from the endpoint."""
+        """Take bytes received from the endpoint."""
         self._owner.record_activity(self.endpoint)
         self._receive(data)
+        if self.receive_state.is_queued:
+            self._is_reading_paused = True
+            self.transport.pause_reading()
+            self._response_timer.pause()
+
+    def eof_received(self) -> bool:
+        """Take the end of the endpoint's stream.
 
-    def eof_received(self) -> None:
-        """Process the end of the endpoint's stream; the event loop then closes the connection."""
+        Returns:
+            Whether the event loop keeps the connection open, because bytes before the end are not processed
+            yet. The exchange closes it when it ends.
+        """
         self._suspend_reuse_if_stale()
         # A response without a length is complete here, and only here: bytes arrive in order, and a connection
         # that is reset, even after the last byte, delivers no end of the stream. Any other response is
         # incomplete.
         self._receive(b"")
+        return self.receive_state.is_queued
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner that the connection is closed, and fail the exchange if there is one."""
@@ -202,16 +238,41 @@
         if not self.has_written_request:  # not a response: the request is incomplete
             self._fail_exchange()
             return
+        self._exchange.receive(data)
+        self._scheduler.submit(self)
+
+    @property
+    def expected_step_s(self) -> float:
+        """Expected duration of the next step in seconds."""
+        return self._exchange.expected_event_s
+
+    def process_received(self) -> bool:
+        """Process a part of the received bytes; called by the scheduler.
+
+        Returns:
+            Whether further bytes wait to be processed.
+        """
+        if self.attempt is None:  # the attempt ended before the bytes were processed
+            return False
         try:
-            response = self._exchange.receive(data)
+            response = self._exchange.process()
+            self._handle_progress(response)
         except (h11.RemoteProtocolError, InvalidResponseError):
             self._fail_exchange()
-            return
-        if response is None:
+        except Exception:  # otherwise the request would wait until its attempt times out
+            log.exception("unexpected error while processing a response; closing its connection")
+            self._fail_exchange()
+        return self._exchange.has_unprocessed_bytes
+
+    def _handle_progress(self, response: UpstreamResponse | None) -> None:
+        if self._is_reading_paused and not self._exchange.has_unprocessed_bytes:
+            self._is_reading_paused = False
+            self.transport.resume_reading()
+        if response is not None:
+            reusable = not self.transport.is_closing() and self._exchange.finish_cycle()
+            self._end_exchange(response.outcome, response, reusable=reusable)
+        elif not self._exchange.has_unprocessed_bytes:
             self._limit_response_time()
-            return
-        reusable = not self.transport.is_closing() and self._exchange.finish_cycle()
-        self._end_exchange(response.outcome, response, reusable=reusable)
 
     def _limit_response_time(self) -> None:
         """Limit the time from a response's first byte, because a response may begin but never end.
@@ -242,6 +303,7 @@
 
     def _suspend_reuse_if_stale(self) -> None:
         """Suspend reuse if the endpoint closes a reused connection without any response to the request."""
-        is_silent = not self._response_timer.is_running and not self._exchange.has_interim_response
+        has_response = self._response_timer.is_started or self._exchange.has_interim_response
+        is_silent = not has_response and not self._exchange.has_unprocessed_bytes
         if self.attempt is not None and self.was_idle and is_silent:
             self._owner.suspend_reuse(self.endpoint)
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -68,7 +68,11 @@
     limits = divide_descriptors(config.sockets)
     scheduler = ReceiveScheduler()
     pool = ConnectionPool(
-        config.connect_timeout_s, config.idle_s, limits.upstream_connections, settings.handshake_cost
+        config.connect_timeout_s,
+        config.idle_s,
+        limits.upstream_connections,
+        settings.handshake_cost,
+        scheduler,
     )
     driver = EventLoopDriver(settings, config.seed, pool, config.discovery)
     classes = {request_class.name: request_class for request_class in settings.classes}
--- a/tests/support/loopback_proxy.py
+++ b/tests/support/loopback_proxy.py
@@ -104,7 +104,7 @@
     """Run a proxy with these endpoints in its cached list; it watches discovery if a port is given."""
     settings = settings or balancer_settings()
     scheduler = ReceiveScheduler()
-    pool = ConnectionPool(connect_timeout_s, idle_timeout_s, max_connections)
+    pool = ConnectionPool(connect_timeout_s, idle_timeout_s, max_connections, scheduler=scheduler)
     clock_offset = PolicyClockOffset()
     discovery = ("127.0.0.1", discovery_port)
     driver = EventLoopDriver(settings, 1, pool, discovery, clock_offset.clock())
