Keep the port of a refusing stand-in discovery reserved in the tests of reloads

test_last_of_several_reloads_in_a_row_is_followed[refuses-0.3 s apart-pushed] failed once in a run of all tests: the last discovery got two requests, the second with since=1, and one refused connect was logged where two are due. Cause: the stand-in listened and closed its socket, so that the system could give its port to the last discovery, which then was one of the refusing ones as well.

Change: the port stays bound to a socket that does not listen, as the docstring said. The test's assertions are as they were.

--- a/tests/net/discovery/test_discovery_reloads.py
+++ b/tests/net/discovery/test_discovery_reloads.py
@@ -90,13 +90,22 @@
     def __init__(self, name: str, behavior: str) -> None:
         super().__init__(name)
         self.behavior = behavior
+        self._reserved_socket = socket.socket()
 
     async def start(self, listening_socket: socket.socket | None = None) -> None:
         """Listen, or only reserve the port if connections are to be refused."""
-        await super().start(listening_socket)
         if self.behavior == "refuses":
-            assert self.server is not None
-            self.server.close()
+            # Without this socket the system may give the port to the next discovery of the test.
+            self._reserved_socket.bind(("127.0.0.1", 0))
+            self.port = self._reserved_socket.getsockname()[1]
+        else:
+            await super().start(listening_socket)
+
+    def stop(self) -> None:
+        """Free the port, and reset all connections."""
+        self._reserved_socket.close()
+        if self.server is not None:
+            super().stop()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.behavior == "responds":
