Parse what discovery sends over several iterations of the event loop

Callers would see stalls of their responses while discovery sends a list in tiny chunks: the cause of endless responses, on the watch. It was forced in a test and not seen in service.

Cause: EndpointWatch parsed all parts of a read of up to 64 KiB at once.

Change: the event loop runs after each 50 parts. The lists of one read are still applied together, those before an invalid one too; when the watch is closed or moved while it parses, nothing of that read is applied.

--- a/load_balancer/net/discovery/endpoint_watch.py
+++ b/load_balancer/net/discovery/endpoint_watch.py
@@ -16,7 +16,7 @@
 from load_balancer.net.addresses import Address
 from load_balancer.net.discovery.endpoint_list import EndpointListMessage, merge_changes
 from load_balancer.net.discovery.held_version import HeldVersion
-from load_balancer.net.discovery.watch_stream import WatchStream
+from load_balancer.net.discovery.watch_stream import WatchProgress, WatchStream
 from load_balancer.net.repeated_log_lines import LogLine, RepeatedLogLines, RunLimits
 
 log = logging.getLogger(__name__)
@@ -33,6 +33,8 @@
 # within 250 ms after it was sent, of which a stall of the process may take 150 ms.
 READ_PAUSE_S = 0.02
 READ_BYTES = 65_536
+# Parts of the stream that are parsed in one iteration of the event loop: a read may hold thousands of chunks.
+MAX_PARTS_PER_ITERATION = 50
 FAILURE_LOG_WINDOW_S = 10.0
 MAX_LOGGED_FAILURES = 5  # per window, one for each reason; the others are counted
 
@@ -144,24 +146,28 @@
                 async with asyncio.timeout_at(timeout_at_s):
                     stream.receive_data(await reader.read(READ_BYTES))
                 # Parts of a list do not extend the timeout: a list sent byte by byte may never end.
-                if self._process_received(stream):
+                if await self._process_received(stream):
                     timeout_at_s = loop.time() + self._heartbeat_timeout_s
                     await _pause_reading(writer)
         finally:
             writer.transport.abort()
 
-    def _process_received(self, stream: WatchStream) -> bool:
+    async def _process_received(self, stream: WatchStream) -> bool:
         """Apply all complete lists together and return whether a list or a heartbeat was received."""
         messages: list[EndpointListMessage] = []
         has_heartbeat = False
         try:
-            for message in stream.messages():
-                if message is None:
+            for part_count, part in enumerate(stream.messages(), start=1):
+                if part is WatchProgress.HEARTBEAT:
                     has_heartbeat = True
-                else:
-                    messages.append(message)
-        finally:  # messages before an invalid one are applied
+                elif isinstance(part, EndpointListMessage):
+                    messages.append(part)
+                if part_count % MAX_PARTS_PER_ITERATION == 0:
+                    await asyncio.sleep(0)
+        except (WireError, h11.RemoteProtocolError):  # messages before an invalid one are applied
             self._apply_messages(messages, heartbeat=has_heartbeat)
+            raise
+        self._apply_messages(messages, heartbeat=has_heartbeat)
         return has_heartbeat or bool(messages)
 
     def _apply_messages(self, messages: Iterable[EndpointListMessage], *, heartbeat: bool) -> None:
--- a/load_balancer/net/discovery/watch_stream.py
+++ b/load_balancer/net/discovery/watch_stream.py
@@ -7,6 +7,7 @@
 
 import json
 from collections.abc import Iterator
+from enum import Enum, auto
 
 import h11
 
@@ -46,6 +47,15 @@
         super().__init__(f"not JSON: {error}")
 
 
+class WatchProgress(Enum):
+    """Progress of a watch that is no list message."""
+
+    HEARTBEAT = auto()
+    """Discovery has nothing to report."""
+    PARTIAL = auto()
+    """A part of the response was parsed."""
+
+
 class WatchStream:
     """One HTTP request for the endpoint list and its changes, with its response."""
 
@@ -77,26 +87,26 @@
         """
         self._http.receive_data(data)
 
-    def messages(self) -> Iterator[EndpointListMessage | None]:
-        """Yield each list message that is now complete, and None for each heartbeat.
+    def messages(self) -> Iterator[EndpointListMessage | WatchProgress]:
+        """Yield each list message and heartbeat that is now complete, and each part that was parsed for them.
+
+        The bytes decide how many parts there are, and the work between two of them is bounded, apart from
+        the text of a single list. The caller may do other work in between.
 
         Raises:
             WireError: The watch has failed, or a message is invalid. The messages before it were yielded.
             h11.RemoteProtocolError: The response is not valid HTTP/1.1.
         """
-        for text in self._texts():
-            yield _parse_message(text) if text else None
-
-    def _texts(self) -> Iterator[bytes]:
-        """Yield each text that is now complete, and an empty one for each heartbeat."""
         while (event := self._http.next_event()) is not h11.NEED_DATA:
+            yield WatchProgress.PARTIAL
             match event:
                 case h11.Response(status_code=200) | h11.InformationalResponse():
                     pass
                 case h11.Response(status_code=status_code):
                     raise WatchRejectedError(status_code)
                 case h11.Data(data=data):
-                    yield from self._splitter.feed(data)
+                    for text in self._splitter.feed(data):
+                        yield _parse_message(text) if text else WatchProgress.HEARTBEAT
                 case _:
                     raise WatchEndedError
 
