Drop the correction of the fair queue's time when its last flow leaves

Change: virtual time advances by the cost over the number of flows, always. A test was missing that new flows with little work, one after another, do not keep one with much work waiting: it fails where virtual time stands still, as the test of a flow that was served alone does.

--- a/load_balancer/net/fair_queue.py
+++ b/load_balancer/net/fair_queue.py
@@ -42,7 +42,6 @@
         self._numbers = itertools.count()
         # Virtual time advances by one second while each of the waiting flows is served for one second.
         self._virtual_s = 0.0
-        self._latest_finish_s = 0.0
 
     def __len__(self) -> int:
         """Return the number of flows in the queue."""
@@ -72,6 +71,4 @@
             flow_count: Number of flows that had work at that time, with this one.
         """
         flow.finish_s = max(self._virtual_s, flow.finish_s) + cost_s
-        self._latest_finish_s = max(self._latest_finish_s, flow.finish_s)
-        # Once no flow waits, none is owed any time: a flow that comes later starts beside the earlier ones.
-        self._virtual_s = self._virtual_s + cost_s / flow_count if flow_count > 1 else self._latest_finish_s
+        self._virtual_s += cost_s / flow_count
--- a/tests/net/test_fair_queue.py
+++ b/tests/net/test_fair_queue.py
@@ -61,6 +61,14 @@
     assert steps <= 1 + 2 * LARGE_S / SMALL_S
 
 
+def test_flow_with_much_work_is_served_beside_new_small_flows() -> None:
+    world = FlowsWithWork({"large": LARGE_S})
+    for number in range(1 + round(2 * LARGE_S / SMALL_S)):
+        world.add(f"small-{number}", SMALL_S)
+        world.serve()
+    assert world.served_s["large"] == LARGE_S
+
+
 def test_flow_that_was_served_alone_owes_nothing_later() -> None:
     world = FlowsWithWork({"early": LARGE_S})
     for _ in range(100):
