--- a/tests/net/discovery/test_expensive_lists.py
+++ b/tests/net/discovery/test_expensive_lists.py
@@ -11,7 +11,7 @@
 from load_balancer.net.discovery.endpoint_watch import EndpointWatch
 from tests.support.endpoint_lists import WATCH_RESPONSE_HEAD, endpoint_entry, endpoint_list
 from tests.support.http_messages import read_start_line
-from tests.support.parsing_clock import MAX_ITERATION_S, ParsingClock
+from tests.support.parsing_clock import EVENT_COST_S, LINE_COST_S, MAX_ITERATION_S, ParsingClock
 from tests.support.stand_in_server import StandInServer
 from tests.support.stepped_clock import wait_until
 
@@ -65,20 +65,24 @@
     clock.stop()
 
 
-async def test_list_is_not_applied_after_the_watch_moved_while_it_was_parsed() -> None:
+async def test_list_is_not_applied_after_the_watch_moved_while_it_was_parsed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     text = json.dumps(endpoint_list(endpoint_entry("s-1", 9), rev=7)) + "\n" * 1_000
-    old_lists: list[EndpointListMessage] = []
+    clock, old_lists = ParsingClock(monkeypatch), list[EndpointListMessage]()
     async with (
         OneResponse(WATCH_RESPONSE_HEAD + in_tiny_chunks(text)) as old_discovery,
         OneResponse(WATCH_RESPONSE_HEAD) as new_discovery,
     ):
         watch = watch_on(old_discovery, old_lists)
-        await wait_until(lambda: bool(old_discovery.writers))
-        for _ in range(3):  # the read takes dozens of iterations to parse
-            await asyncio.sleep(0)
+        # The list is complete before the half of the read, which takes dozens of iterations to parse.
+        half_s = 0.5 * len(text) * (EVENT_COST_S + 2 * LINE_COST_S)
+        await wait_until(lambda: clock.advanced_s > half_s)
+        assert not old_lists
         watch.change_address(("127.0.0.1", new_discovery.port))
         await wait_until(lambda: bool(new_discovery.writers))
         for _ in range(100):
             await asyncio.sleep(0)
         assert not old_lists
         watch.close()
+        clock.stop()
--- a/tests/net/upstream/test_expensive_responses.py
+++ b/tests/net/upstream/test_expensive_responses.py
@@ -116,6 +116,25 @@
         await wait_until(lambda: not busy_pool.connections.open)
 
 
+async def test_end_of_the_stream_is_processed_although_no_time_is_left_when_it_is_read(
+    clock: ParsingClock,
+) -> None:
+    scheduler = ReceiveScheduler()
+    pool = ConnectionPool(60.0, 30.0, 10, scheduler=scheduler)
+    async with RawEndpoint(respond_with(b"HTTP/1.1 200 x\r\n\r\nok")) as endpoint:
+        recorded = RecordedAttempt(pool, endpoint.endpoint)
+        await wait_until(lambda: bool(endpoint.received))
+        await run_loop_turns()
+        endpoint.connections[0].end_sending()
+        # Its first step runs now, the second before the end of the stream is read, and the third after it.
+        scheduler.submit(StandInReceiver(clock, 3, step_s=10 * receive_scheduler.ITERATION_BUDGET_S))
+        outcome, response = await recorded.result()
+        assert outcome is Outcome.OK
+        assert response
+        assert response.body == b"ok"
+        await wait_until(lambda: not pool.connections.open)
+
+
 async def test_attempt_times_out_while_its_response_waits_to_be_processed(
     busy_pool: ConnectionPool, clock: ParsingClock
 ) -> None:
@@ -123,6 +142,8 @@
         recorded = RecordedAttempt(busy_pool, endpoint.endpoint, timeout_s=60.0)
         await wait_until(lambda: bool(endpoint.received))
         await run_loop_turns()
+        [connection] = busy_pool.connections.open
+        assert not connection.transport.is_reading()  # its unprocessed bytes are bounded by one read
         clock.advance(60.0)
         assert await recorded.result() == (Outcome.TIMEOUT, None)
         await run_loop_turns(2 * BUSY_ITERATIONS)
