--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -111,6 +111,7 @@
         cwd=ROOT,
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,  # asyncio warns of each stream that outlives its event loop
     )
     return PeerProcess(process)
 
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -1,6 +1,6 @@
 """Builds and runs the proxy of this process.
 
-`__main__.main` reads the configuration and runs `serve`. SIGTERM and SIGINT start the graceful shutdown
+`command.main` reads the configuration and runs `serve`. SIGTERM and SIGINT start the graceful shutdown
 (`graceful_shutdown`); SIGHUP reloads the configuration (`reload`). The module keeps no state between calls.
 """
 
--- a/load_balancer/process/signals.py
+++ b/load_balancer/process/signals.py
@@ -1,6 +1,6 @@
 """Handling of stop signals before the event loop runs, and of stop and reload signals after it.
 
-State: the signal handlers and the signal mask of the process. `__main__.main` calls `exit_on_early_signals`.
+State: the signal handlers and the signal mask of the process. `command.main` calls `exit_on_early_signals`.
 `server.serve` then installs its own handlers, and blocks the signals when it has finished.
 """
 
--- a/tests/process/test_server.py
+++ b/tests/process/test_server.py
@@ -93,7 +93,7 @@
 
 SIGNALS_AFTER_LOOP_PROGRAM = """
 import os, signal, sys
-import load_balancer.__main__ as program
+import load_balancer.process.command as program
 
 run = program.asyncio.run
 
--- a/tests/scenarios/test_accept_failures.py
+++ b/tests/scenarios/test_accept_failures.py
@@ -196,7 +196,7 @@
 
 FAILING_ACCEPT_PROGRAM = """
 import resource, socket, sys
-import load_balancer.__main__ as program
+import load_balancer.process.command as program
 from load_balancer.net.client.client_listener import ClientListener
 
 accept_error, descriptor_limit = int(sys.argv[1]), int(sys.argv[2])
