Do not run an unsafe request twice when its id comes again after its client left

What callers saw: a client sent an unsafe request, left 50 ms later and sent the same id again on a new connection; the id ran twice. Cause: client_registry.open_request_ids forgot an id with its client, while its attempt was still running or had run.

Such a request gets a 409: a 429 or 503 would promise that nothing has run.

--- a/load_balancer/messages/settings.py
+++ b/load_balancer/messages/settings.py
@@ -154,3 +154,8 @@
         _require("cross_zone_cost", "is negative", holds=self.cross_zone_cost >= 0)
         _require("handshake_cost", "is negative", holds=self.handshake_cost >= 0)
         _require("tick_us", "is negative", holds=self.tick_us >= 0)
+
+    @property
+    def longest_deadline_s(self) -> float:
+        """The longest deadline of all request classes, in seconds."""
+        return max(request_class.deadline_us for request_class in self.classes) / 1e6
--- a/load_balancer/net/client/http_request.py
+++ b/load_balancer/net/client/http_request.py
@@ -52,6 +52,7 @@
     Attributes:
         request_id: The value of `Req-Id`.
         class_name: The request class, one of those in the settings.
+        is_unsafe: Whether the request must not run twice.
         time_remaining_s: Seconds from the receipt of the request's last byte to its deadline.
         tenant: The value of `Req-Owner`, if present.
         is_retry: Whether the client marked the request as a retry.
@@ -62,6 +63,7 @@
 
     request_id: bytes
     class_name: str
+    is_unsafe: bool
     time_remaining_s: float
     tenant: str | None
     is_retry: bool
@@ -135,6 +137,7 @@
     return RequestHead(
         request_id=request_id,
         class_name=request_class.name,
+        is_unsafe=request_class.idempotency is messages.Idempotency.UNSAFE,
         time_remaining_s=_read_time_remaining_s(fields, request_class),
         tenant=None if tenant is None else tenant.decode("latin-1"),
         is_retry=fields.get(b"req-retry") == b"1",
--- a/load_balancer/net/client/request_forwarder.py
+++ b/load_balancer/net/client/request_forwarder.py
@@ -52,7 +52,7 @@
                 and its handlers would form a reference cycle.
 
         Raises:
-            BadRequestError: Another open request has the same id.
+            BadRequestError: The same id is in use.
         """
         self._clients.mark_active(self._connection)
         head = self._incoming.head
@@ -63,10 +63,20 @@
         if self._connection.is_over_limit:
             self._respond(on_next_request, SERVICE_UNAVAILABLE)
             return
+        self._check_id(head)
+        if head.is_unsafe and not self._driver.can_retain_id():
+            self._respond(on_next_request, SERVICE_UNAVAILABLE)
+            return
+        self._forward(head, on_next_request)
+
+    def _check_id(self, head: RequestHead) -> None:
+        """Raise BadRequestError if a request with this id is open, or may still be running or have run."""
         if head.request_id in self._clients.open_request_ids:
             # An endpoint would take this request for a retry of the open one, and might drop it.
             raise BadRequestError(409, "Req-Id is already used by an open request")
-        self._forward(head, on_next_request)
+        if self._driver.is_id_in_use(head.request_id):
+            # A 429 or 503 would promise that nothing has run.
+            raise BadRequestError(409, "Req-Id was used by a request that may have run")
 
     def reject(self, response: ClientResponse) -> None:
         """End the current request with an error response and linger."""
@@ -99,6 +109,7 @@
         now_s = self._loop.time()
         waited_s = now_s - self._connection.http.last_parsed_received_at_s
         return ClientRequest(
+            request_id=head.request_id,
             class_name=head.class_name,
             time_remaining_us=round(1e6 * max(0.0, head.time_remaining_s - waited_s)),
             measured_at_s=now_s,
--- a/load_balancer/net/driver/attempt_dispatcher.py
+++ b/load_balancer/net/driver/attempt_dispatcher.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -35,11 +36,15 @@
         key: The key of the attempt.
         endpoint_id: The endpoint that the attempt was started on.
         started_at_us: The start of the attempt, by the policy's clock.
+        client_request_id: The id that the client gave the request.
+        is_unsafe: Whether the request must not run twice.
     """
 
     key: AttemptKey
     endpoint_id: int
     started_at_us: int
+    client_request_id: bytes
+    is_unsafe: bool
 
 
 class AttemptDispatcher:
@@ -70,6 +75,7 @@
         self._events = events
         self._pool = pool
         self._clock = clock
+        self._loop = asyncio.get_running_loop()
         self._unsafe_class_names = {
             request_class.name
             for request_class in classes
@@ -95,7 +101,11 @@
             _log_unknown("endpoint", action)
         key = AttemptKey(request.id, request.attempt_count)
         request.attempt_count += 1
-        on_outcome = partial(self._finish, StartedAttempt(key, action.endpoint_id, started_at_us))
+        client_request_id = request.client_request.request_id
+        is_unsafe = request.client_request.class_name in self._unsafe_class_names
+        started = StartedAttempt(key, action.endpoint_id, started_at_us, client_request_id, is_unsafe)
+        self._requests.ids.attempt_started(client_request_id)
+        on_outcome = partial(self._finish, started)
         # The client may have disconnected although the end of its stream has not been read yet.
         if endpoint is None or not self._is_client_waiting(request):
             on_outcome(messages.Outcome.NOT_SENT, None)
@@ -147,6 +157,9 @@
         """Pass a successful response to the client, and report the outcome to the policy."""
         key = started.key
         self._remove_in_flight(key, outcome)
+        self._requests.ids.attempt_ended(
+            self._loop.time(), started.client_request_id, outcome, is_unsafe=started.is_unsafe
+        )
         duration_us = self._clock.now_us() - started.started_at_us
         if outcome is messages.Outcome.OK and response is not None:
             self._requests.respond(key.request_id, _to_client_response(response))
--- a/load_balancer/net/driver/client_messages.py
+++ b/load_balancer/net/driver/client_messages.py
@@ -36,6 +36,7 @@
     """A complete request as received from a client.
 
     Attributes:
+        request_id: The id that the client gave it.
         class_name: The name of its request class in the settings.
         time_remaining_us: How long the client would still wait at `measured_at_s`, microseconds.
         measured_at_s: The event loop's time at which `time_remaining_us` was measured.
@@ -50,6 +51,7 @@
             at the time of the call.
     """
 
+    request_id: bytes
     class_name: str
     time_remaining_us: int
     measured_at_s: float
--- a/load_balancer/net/driver/event_loop_driver.py
+++ b/load_balancer/net/driver/event_loop_driver.py
@@ -23,6 +23,7 @@
 from load_balancer.net.driver.health_check_sender import HealthCheckSender
 from load_balancer.net.driver.open_requests import OpenRequests
 from load_balancer.net.driver.policy_timers import PolicyTimers
+from load_balancer.net.driver.request_ids import RequestIds
 from load_balancer.net.upstream.connection_pool import ConnectionPool
 from load_balancer.policy.balancer import Balancer
 
@@ -63,7 +64,8 @@
         self.balancer = Balancer(settings, seed)
         self.clock = clock or Clock()
         self.events = EventQueue(self._handle_event)
-        self.requests = OpenRequests(self.events)
+        self._loop = asyncio.get_running_loop()
+        self.requests = OpenRequests(self.events, RequestIds(settings.longest_deadline_s))
         self.endpoint_list = EndpointListReceiver(
             self.events, pool, self.clock, discovery, is_polled=settings.must_subscribe
         )
@@ -81,7 +83,6 @@
             pool,
         )
         self._pool = pool
-        self._loop = asyncio.get_running_loop()
 
     def start(self, cached_list: EndpointListMessage | None) -> None:
         """Start the balancer, apply the cached list, and open the watch unless the policy must request it.
@@ -113,6 +114,14 @@
         """The event that is set once discovery has reported or failed, or need not be waited for."""
         return self.endpoint_list.discovery_reported
 
+    def is_id_in_use(self, request_id: bytes) -> bool:
+        """Return whether a request with this client's id must not be forwarded now."""
+        return self.requests.ids.is_in_use(self._loop.time(), request_id)
+
+    def can_retain_id(self) -> bool:
+        """Return whether the id of another unsafe request could be kept after the request."""
+        return self.requests.ids.has_capacity(self._loop.time())
+
     def accept_request(self, request: ClientRequest) -> str:
         """Accept a request; its `respond` may be called before this method returns.
 
--- a/load_balancer/net/driver/open_requests.py
+++ b/load_balancer/net/driver/open_requests.py
@@ -15,6 +15,7 @@
 from load_balancer.net.driver.attempt_table import AttemptTable
 from load_balancer.net.driver.client_messages import BAD_GATEWAY, ClientRequest, ClientResponse
 from load_balancer.net.driver.event_queue import EventQueue
+from load_balancer.net.driver.request_ids import RequestIds
 
 log = logging.getLogger(__name__)
 
@@ -48,15 +49,18 @@
 
     Attributes:
         attempts: The attempts in flight, including those of ended requests.
+        ids: The clients' ids that must not be forwarded again now.
     """
 
-    def __init__(self, events: EventQueue) -> None:
+    def __init__(self, events: EventQueue, ids: RequestIds) -> None:
         """Create an empty table. Requires a running event loop.
 
         Args:
+            ids: The clients' ids that must not be forwarded again now.
             events: Receives a `Request` for each request, and a `ClientGone` if one is cancelled or fails.
         """
         self.attempts = AttemptTable()
+        self.ids = ids
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._requests: dict[str, OpenRequest] = {}
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -11,7 +11,6 @@
 import logging
 from dataclasses import dataclass
 
-from load_balancer import messages
 from load_balancer.net.client.client_listener import ClientListener
 from load_balancer.net.discovery.endpoint_watch import POLLED_LIST_TIMEOUT_S
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
@@ -50,7 +49,7 @@
         log.info("%s listens on %s:%d", config.name, *address)
         await stop.wait()
         log.info("stop signal received; shutting down gracefully")
-        await GracefulShutdown(proxy.listener, proxy.driver, longest_deadline_s(config.settings)).run()
+        await GracefulShutdown(proxy.listener, proxy.driver, config.settings.longest_deadline_s).run()
     reloader.close()
 
 
@@ -80,11 +79,6 @@
     return Proxy(driver, listener)
 
 
-def longest_deadline_s(settings: messages.Settings) -> float:
-    """Return the longest deadline of all request classes."""
-    return max(request_class.deadline_us for request_class in settings.classes) / 1e6
-
-
 def install_stop_handlers() -> asyncio.Event:
     """Install handlers of the stop signals that set an event, and return the event."""
     loop = asyncio.get_running_loop()
--- a/tests/net/client/test_http_request.py
+++ b/tests/net/client/test_http_request.py
@@ -37,6 +37,7 @@
     assert parse_head(fields, target="/api?x=1") == RequestHead(
         request_id=b"a1",
         class_name="read",
+        is_unsafe=False,
         time_remaining_s=4.0,
         tenant="t1",
         is_retry=True,
