--- a/load_balancer/net/client/client_connection.py
+++ b/load_balancer/net/client/client_connection.py
@@ -10,10 +10,12 @@
 import asyncio
 import contextlib
 
+from load_balancer.net.client import client_limits as limits
 from load_balancer.net.client.client_connection_state import TRANSITIONS, ConnectionState
 from load_balancer.net.client.client_registry import ClientRegistry
 from load_balancer.net.client.http_server_protocol import HttpServerProtocol
 from load_balancer.net.driver.client_messages import ClientResponse
+from load_balancer.net.memory_budget import MemoryAccount, MemoryOwner
 from load_balancer.net.receive_scheduler import ReceiveState
 from load_balancer.net.socket_state import has_unread_bytes, is_closed_by_remote
 
@@ -34,6 +36,7 @@
         has_scheduled_final_check: Whether the time limit has expired and the final check before the close has
             been scheduled.
         forwarded_request_id: The driver's id of the request that is waiting for its response.
+        unsent_account: Charge of the responses that the client has not read.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.receive_state = ReceiveState()
         self.has_scheduled_final_check = False
         self.forwarded_request_id: str | None = None
+        self.unsent_account = MemoryAccount(clients.memory.budget, MemoryOwner.UNSENT_RESPONSES)
         self._clients = clients
         self._loop = asyncio.get_running_loop()
         self.is_over_limit = clients.add(self)
@@ -68,6 +72,11 @@
         """Whether a request has been forwarded to the driver and has no response yet."""
         return self.state is ConnectionState.WAITING_FOR_RESPONSE
 
+    @property
+    def is_waiting_for_memory(self) -> bool:
+        """Whether the request that is being received waits for memory."""
+        return self.state is ConnectionState.WAITING_FOR_MEMORY
+
     @property
     def is_lingering(self) -> bool:
         """Whether the last response has been written and received bytes are discarded."""
@@ -88,6 +97,13 @@
         """Whether a part of a response has not been written to the socket yet."""
         return self.transport.get_write_buffer_size() > 0
 
+    @property
+    def has_slow_request(self) -> bool:
+        """Whether a request has been incomplete for longer than a sound client takes to send one."""
+        if self.is_waiting_for_response or not self.has_pending_request:
+            return False
+        return self._loop.time() - self.last_progress_at_s > limits.SLOW_REQUEST_S
+
     @property
     def is_finished(self) -> bool:
         """Whether the connection is closing and all responses have been written to the socket."""
@@ -101,8 +117,13 @@
 
     @property
     def has_unprocessed_bytes(self) -> bool:
-        """Whether bytes of a request wait to be parsed or read, and the client is still connected."""
-        if self.is_lingering or not (self.is_processing_scheduled or has_unread_bytes(self.transport)):
+        """Whether bytes of a request wait to be parsed or read, and the client is still connected.
+
+        A request that waits for memory may be ended at any time.
+        """
+        if self.is_lingering or self.is_waiting_for_memory:
+            return False
+        if not (self.is_processing_scheduled or has_unread_bytes(self.transport)):
             return False
         return not is_closed_by_remote(self.transport)
 
@@ -133,6 +154,7 @@
             # A pipelined request that has already been received still needs a response.
             is_last = is_last or not (self.http.has_unparsed_bytes or self.has_unprocessed_bytes)
         self.transport.write(self.http.final_response(response, is_last=is_last))
+        self.unsent_account.set(self.transport.get_write_buffer_size())
         self.last_progress_at_s = self._loop.time()
         self.has_responded = True
         if not self.http.start_next_request():
@@ -159,7 +181,7 @@
         if self.is_lingering or self.transport.is_closing():
             return
         self.transition_to(ConnectionState.LINGERING)
-        self.http.received.clear()
+        self.http.discard_received()
         self.transport.resume_reading()
         self._clients.mark_unused(self)
         if self.transport.can_write_eof():
--- a/load_balancer/net/client/client_connection_state.py
+++ b/load_balancer/net/client/client_connection_state.py
@@ -10,6 +10,8 @@
 
     READING = enum.auto()
     """Received bytes are parsed as a request."""
+    WAITING_FOR_MEMORY = enum.auto()
+    """The request that is being received waits until memory for it is free; nothing is read."""
     WAITING_FOR_RESPONSE = enum.auto()
     """Received bytes are buffered until the driver has responded to the forwarded request."""
     LINGERING = enum.auto()
@@ -17,7 +19,12 @@
 
 
 TRANSITIONS = {
-    ConnectionState.READING: (ConnectionState.WAITING_FOR_RESPONSE, ConnectionState.LINGERING),
+    ConnectionState.READING: (
+        ConnectionState.WAITING_FOR_MEMORY,
+        ConnectionState.WAITING_FOR_RESPONSE,
+        ConnectionState.LINGERING,
+    ),
+    ConnectionState.WAITING_FOR_MEMORY: (ConnectionState.READING, ConnectionState.LINGERING),
     ConnectionState.WAITING_FOR_RESPONSE: (ConnectionState.READING,),
     ConnectionState.LINGERING: (),
 }
--- a/load_balancer/net/client/client_listener.py
+++ b/load_balancer/net/client/client_listener.py
@@ -21,7 +21,9 @@
 from load_balancer.net.client.connection_acceptor import ConnectionAcceptor
 from load_balancer.net.client.connection_time_limits import ConnectionTimeLimits
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
+from load_balancer.net.event_counters import EventKind
 from load_balancer.net.receive_scheduler import ReceiveScheduler
+from load_balancer.net.shared_resources import SharedResources
 
 
 class NotListeningError(LoadBalancerError):
@@ -44,6 +46,8 @@
         classes: Mapping[str, messages.RequestClass],
         max_connections: int,
         scheduler: ReceiveScheduler,
+        shared: SharedResources | None = None,
+        max_descriptors: int | None = None,
     ) -> None:
         """Start checking time limits. Connections are accepted only after `listen`.
 
@@ -52,10 +56,15 @@
             classes: The request classes of the settings, by name.
             max_connections: The limit on open connections.
             scheduler: Decides when received bytes are processed.
+            shared: The memory budget and the counters of the process; by default some of the listener's own.
+            max_descriptors: The limit on descriptors of client connections; by default by `max_connections`.
         """
+        shared = shared or SharedResources()
         self.loop = asyncio.get_running_loop()
-        self.clients: ClientRegistry[ClientConnection] = ClientRegistry(max_connections)
-        self.time_limits = ConnectionTimeLimits()
+        self.clients: ClientRegistry[ClientConnection] = ClientRegistry(
+            max_connections, shared, max_descriptors
+        )
+        self.time_limits = ConnectionTimeLimits(shared.counters)
         self._driver = driver
         self._classes = classes
         self._scheduler = scheduler
@@ -119,6 +128,7 @@
         """Close the listening socket and all connections immediately; incomplete requests get a 503."""
         self.acceptor.close()
         self.sweep_timer.cancel()
+        self.clients.counters.log_totals(f"KiB held: {self.clients.memory.budget.describe()}")
         self.clients.abort_all()
 
     def sweep(self) -> None:
@@ -129,6 +139,24 @@
             self._acceptor.log_ended_faults(now_s)
         for connection in list(self.clients.open_connections):
             self.time_limits.check(connection, now_s)
+        self._close_clients_that_do_not_read(now_s)
+        self.clients.counters.log_if_due(now_s, f"KiB held: {self.clients.memory.budget.describe()}")
+
+    def _close_clients_that_do_not_read(self, now_s: float) -> None:
+        """Close those that have read nothing for longest, while responses lack the memory that they hold."""
+        budget = self.clients.memory.budget
+        if budget.free_response_bytes >= limits.RESPONSE_ROOM_BYTES:
+            return
+        writing = [connection for connection in self.clients.open_connections if connection.is_writing]
+        for connection in sorted(writing, key=lambda connection: connection.last_progress_at_s):
+            unread_s = now_s - connection.last_progress_at_s
+            if budget.free_response_bytes >= limits.RESPONSE_ROOM_BYTES:
+                return
+            if unread_s < limits.UNREAD_RESPONSE_GRACE_S:
+                return
+            self.clients.counters.count(EventKind.CLIENT_CLOSED_FOR_MEMORY)
+            connection.unsent_account.set(0)
+            connection.transport.abort()
 
     def _make_protocol(self) -> ClientProtocol:
         return ClientProtocol(self.clients, self._driver, self._classes, self._scheduler)
--- a/load_balancer/net/client/client_protocol.py
+++ b/load_balancer/net/client/client_protocol.py
@@ -62,11 +62,14 @@
         self._clients.descriptor_count -= 1  # the transport closes its socket right after this callback
         self._clients.remove(self._connection)
         self._connection.http.received.clear()
-        self._processor.cancel_open_request()
+        self._connection.unsent_account.set(0)
+        self._processor.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
-        return self._clients.read_buffer
+        if self._processor.may_read_fully:
+            return self._clients.read_buffer
+        return self._clients.small_read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the bytes that were read to the request processor."""
@@ -74,6 +77,7 @@
 
     def resume_writing(self) -> None:
         """Continue processing, now that the write buffer is empty."""
+        self._connection.unsent_account.set(0)
         if self._connection.is_lingering:
             self._connection.last_progress_at_s = asyncio.get_running_loop().time()
         self._processor.resume()
--- a/load_balancer/net/client/client_registry.py
+++ b/load_balancer/net/client/client_registry.py
@@ -14,7 +14,11 @@
 from load_balancer.net.client.disconnect_poller import DisconnectPoller, PolledConnection
 from load_balancer.net.client.http_response import SERVICE_UNAVAILABLE
 from load_balancer.net.client.receive_buffer import BufferedTotal
+from load_balancer.net.client.request_memory import RequestMemory
 from load_balancer.net.driver.client_messages import ClientResponse
+from load_balancer.net.event_counters import EventKind
+from load_balancer.net.memory_budget import MemoryOwner
+from load_balancer.net.shared_resources import SharedResources
 
 
 class TrackedConnection(PolledConnection, Protocol):
@@ -32,6 +36,10 @@
     def is_writing(self) -> bool:
         """Whether a part of a response has not been written to the socket yet."""
 
+    @property
+    def has_slow_request(self) -> bool:
+        """Whether a request has been incomplete for longer than a sound client takes to send one."""
+
     def abort(self, response: ClientResponse) -> None:
         """Close the connection immediately; an incomplete request gets this response."""
 
@@ -43,6 +51,8 @@
     """Registry of open client connections.
 
     Attributes:
+        counters: Counts why connections and requests are ended.
+        memory: The memory that the requests of all connections hold.
         max_connections: The limit on open connections; requests on connections above the limit get a 503.
         open_connections: All open connections.
         unused_connections: Evictable connections that have not sent a complete request yet or are lingering,
@@ -54,17 +64,30 @@
         open_request_ids: The ids of the forwarded requests that have no response yet.
         buffered_total: The total number of bytes in the receive buffers of all connections.
         read_buffer: The buffer that all connections read into. Each copies its bytes before the next read.
+        small_read_buffer: The part of it that is used while memory is short.
         descriptor_count: The number of descriptors of client connections, counted from accept to close.
         is_shutting_down: Whether the process is shutting down, so that the readiness check fails.
         is_draining: Whether each connection is closed as soon as it has no open request.
     """
 
-    def __init__(self, max_connections: int) -> None:
+    def __init__(
+        self,
+        max_connections: int,
+        shared: SharedResources | None = None,
+        max_descriptors: int | None = None,
+    ) -> None:
         """Create an empty registry. Requires a running event loop.
 
         Args:
             max_connections: The limit on open connections.
+            shared: The memory budget and the counters of the process; by default some of the registry's own.
+            max_descriptors: The limit on descriptors of connections that are open, closing or being accepted;
+                by default what the limit on connections needs.
         """
+        shared = shared or SharedResources()
+        self.counters = shared.counters
+        self.memory = RequestMemory(shared.budget, shared.counters)
+        self._max_descriptors = max(max_descriptors or 0, max_connections) + limits.MAX_CONNECTIONS_OVER_LIMIT
         self.max_connections = max_connections
         self.open_connections: set[ConnectionT] = set()
         # Dictionaries serve as ordered sets.
@@ -72,8 +95,9 @@
         self.idle_connections: dict[ConnectionT, None] = {}
         self.disconnect_poller: DisconnectPoller[ConnectionT] = DisconnectPoller()
         self.open_request_ids: set[bytes] = set()
-        self.buffered_total = BufferedTotal()
+        self.buffered_total = BufferedTotal(self.memory.budget)
         self.read_buffer = memoryview(bytearray(limits.READ_SIZE_BYTES))
+        self.small_read_buffer = self.read_buffer[: limits.SMALL_READ_SIZE_BYTES]
         self.descriptor_count = 0
         self.is_shutting_down = False
         self.is_draining = False
@@ -81,7 +105,7 @@
     @property
     def free_descriptor_count(self) -> int:
         """Number of connections that may still be accepted."""
-        return self.max_connections + limits.MAX_CONNECTIONS_OVER_LIMIT - self.descriptor_count
+        return self._max_descriptors - self.descriptor_count
 
     @property
     def is_over_hard_limit(self) -> bool:
@@ -97,15 +121,30 @@
         if len(self.open_connections) >= self.max_connections:
             self._evict_connection()
         self.open_connections.add(connection)
+        self.memory.budget.change(MemoryOwner.CLIENT_CONNECTIONS, limits.CLIENT_CONNECTION_BYTES)
         self.unused_connections[connection] = None
-        return len(self.open_connections) > self.max_connections
+        is_over_limit = len(self.open_connections) > self.max_connections
+        if is_over_limit:
+            self.counters.count(EventKind.CONNECTION_OVER_LIMIT)
+        return is_over_limit
 
     def _evict_connection(self) -> None:
+        evicted = self._find_quiet_connection() or self._find_slow_connection()
+        if evicted is not None:
+            self.counters.count(EventKind.CONNECTION_EVICTED)
+            self.remove(evicted)
+            evicted.abort(SERVICE_UNAVAILABLE)
+
+    def _find_quiet_connection(self) -> ConnectionT | None:
         for connection in self._eviction_candidates():
             if not (connection.has_unprocessed_bytes or connection.is_writing):
-                self.remove(connection)
-                connection.abort(SERVICE_UNAVAILABLE)
-                return
+                return connection
+        return None
+
+    def _find_slow_connection(self) -> ConnectionT | None:
+        """Return one of the oldest connections if its request is slow, although bytes of it have arrived."""
+        oldest = islice(self.unused_connections, limits.MAX_SILENT_CANDIDATES)
+        return next((connection for connection in oldest if connection.has_slow_request), None)
 
     def _eviction_candidates(self) -> Iterator[ConnectionT]:
         """Return the connections that may be evicted, in order of eviction.
@@ -124,8 +163,10 @@
         return chain(unused, self.idle_connections) if is_flood else chain(self.idle_connections, unused)
 
     def remove(self, connection: ConnectionT) -> None:
-        """Remove a closed connection."""
-        self.open_connections.discard(connection)
+        """Remove a closed connection; do nothing if it has been removed."""
+        if connection in self.open_connections:
+            self.open_connections.remove(connection)
+            self.memory.budget.change(MemoryOwner.CLIENT_CONNECTIONS, -limits.CLIENT_CONNECTION_BYTES)
         self.disconnect_poller.stop_polling(connection)
         self.mark_active(connection)
 
@@ -149,5 +190,6 @@
     def abort_all(self) -> None:
         """Close all connections immediately; incomplete requests get a 503."""
         self.disconnect_poller.close()
+        self.memory.close()
         for connection in list(self.open_connections):
             connection.abort(SERVICE_UNAVAILABLE)
--- a/load_balancer/net/client/connection_acceptor.py
+++ b/load_balancer/net/client/connection_acceptor.py
@@ -99,10 +99,12 @@
         if self._state is AcceptorState.CLOSED:
             return
         self._state = AcceptorState.STOPPING
-        if self._accept_up_to(min(limits.ACCEPT_BACKLOG + 1, self._clients.free_descriptor_count)):
+        # Accepting the whole queue in one iteration of the event loop would make the shutdown late.
+        batch_size = min(limits.MAX_ACCEPTS_PER_ITERATION, self._clients.free_descriptor_count)
+        if self._accept_up_to(batch_size):
             self.close()
         else:
-            self._pause()
+            self._pause(limits.ACCEPT_RETRY_DELAY_S if batch_size <= 0 else limits.STOP_ACCEPT_INTERVAL_S)
 
     def close(self) -> None:
         """Close the listening socket. Do nothing if it is already closed."""
@@ -165,10 +167,10 @@
         task.add_done_callback(self.registration_tasks.discard)
         return True
 
-    def _pause(self) -> None:
+    def _pause(self, delay_s: float = limits.ACCEPT_RETRY_DELAY_S) -> None:
         self._loop.remove_reader(self.listening_socket)
         if self._retry_timer is None:
-            self._retry_timer = self._loop.call_later(limits.ACCEPT_RETRY_DELAY_S, self.resume)
+            self._retry_timer = self._loop.call_later(delay_s, self.resume)
 
     def resume(self) -> None:
         """Resume accepting after a pause."""
--- a/load_balancer/net/client/connection_time_limits.py
+++ b/load_balancer/net/client/connection_time_limits.py
@@ -10,13 +10,19 @@
 from load_balancer.net.client import client_limits as limits
 from load_balancer.net.client.client_connection import ClientConnection
 from load_balancer.net.client.http_response import REQUEST_TIMEOUT
+from load_balancer.net.event_counters import EventCounters, EventKind
 
 
 class ConnectionTimeLimits:
     """Checks the time limits of client connections, one connection per call."""
 
-    def __init__(self) -> None:
-        """Bind to the running event loop, whose clock the limits use."""
+    def __init__(self, counters: EventCounters) -> None:
+        """Bind to the running event loop, whose clock the limits use.
+
+        Args:
+            counters: Counts the connections that are closed.
+        """
+        self._counters = counters
         self._loop = asyncio.get_running_loop()
 
     def check(self, connection: ClientConnection, now_s: float) -> None:
@@ -42,8 +48,15 @@
                 connection.has_scheduled_final_check = True
                 self._loop.call_later(limits.FINAL_CHECK_DELAY_S, self._run_final_check, connection)
                 return
+        self._count_end(connection)
         connection.abort(REQUEST_TIMEOUT)
 
+    def _count_end(self, connection: ClientConnection) -> None:
+        if connection.is_writing:
+            self._counters.count(EventKind.CLIENT_DID_NOT_READ)
+        elif connection.has_pending_request:
+            self._counters.count(EventKind.REQUEST_TIMED_OUT)
+
     def can_be_closed(self, connection: ClientConnection, now_s: float) -> bool:
         """Return whether a connection has no request, and no first request is expected on it.
 
--- a/load_balancer/net/client/http_request.py
+++ b/load_balancer/net/client/http_request.py
@@ -59,6 +59,7 @@
         method: GET or POST, as the request class requires.
         target: The path with its query.
         headers: The headers that are forwarded to the endpoint.
+        max_body_bytes: The largest size that the body may have.
     """
 
     request_id: bytes
@@ -70,6 +71,7 @@
     method: bytes
     target: bytes
     headers: Headers
+    max_body_bytes: int
 
 
 def check_framing(request: h11.Request) -> dict[bytes, bytes]:
@@ -106,6 +108,13 @@
     return fields
 
 
+def max_body_bytes(fields: Mapping[bytes, bytes]) -> int:
+    """Return the largest size that the body of a request with this valid framing may have."""
+    if b"transfer-encoding" in fields:
+        return MAX_BODY_BYTES
+    return int(fields.get(b"content-length", b"0"))
+
+
 def _unique_headers(request: h11.Request) -> dict[bytes, bytes]:
     fields: dict[bytes, bytes] = {}
     for name, value in request.headers:
@@ -144,6 +153,7 @@
         method=request.method,
         target=request.target,
         headers=_forwarded_headers(request, fields),
+        max_body_bytes=max_body_bytes(fields),
     )
 
 
--- a/load_balancer/net/client/http_server_protocol.py
+++ b/load_balancer/net/client/http_server_protocol.py
@@ -42,12 +42,29 @@
         self.last_parsed_received_at_s = now_s
         self._h11 = _new_h11_connection()
         self._needs_data = True  # whether h11 cannot return an event without further bytes
+        self._parser_bytes = 0  # upper bound of the bytes that h11 holds
 
     @property
     def has_unparsed_bytes(self) -> bool:
         """Whether received bytes have not been parsed yet."""
         return bool(self.received or self._h11.trailing_data[0])
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that received bytes take until they are parsed."""
+        return self.received.memory_bytes + self._parser_bytes
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Upper bound of the received bytes that have not been parsed."""
+        return self.received.size_bytes + self._parser_bytes
+
+    @property
+    def incomplete_head_bytes(self) -> int:
+        """Number of bytes received of a head that is not complete; 0 if no head is being received."""
+        is_in_head = self._h11.their_state is h11.IDLE and self._needs_data
+        return self._parser_bytes if is_in_head else 0
+
     @property
     def expected_event_s(self) -> float:
         """Expected time to parse the next event in seconds, by the bytes that it may consist of."""
@@ -81,6 +98,8 @@
         self._skip_empty_lines()
         event = self._h11.next_event()
         self._needs_data = event is h11.NEED_DATA
+        if self._needs_data or isinstance(event, h11.EndOfMessage):
+            self._parser_bytes = len(self._h11.trailing_data[0])
         return event
 
     def feed(self) -> bool:
@@ -90,9 +109,16 @@
         piece = self.received.pop()
         self.last_parsed_received_at_s = piece.received_at_s
         self._h11.receive_data(piece.data)
+        self._parser_bytes += len(piece.data)
         self._needs_data = False
         return True
 
+    def discard_received(self) -> None:
+        """Discard all received bytes. No request or response may follow."""
+        self.received.clear()
+        self._h11 = _new_h11_connection()
+        self._parser_bytes = 0
+
     def _skip_empty_lines(self) -> None:
         # Empty lines may precede a request, for example after the body of the previous one. h11 rejects them,
         # so the remaining bytes go to a new h11 connection without the empty lines.
--- a/load_balancer/net/client/incoming_request.py
+++ b/load_balancer/net/client/incoming_request.py
@@ -7,7 +7,13 @@
 import h11
 
 from load_balancer import messages
-from load_balancer.net.client.http_request import BadRequestError, RequestHead, check_framing, read_head
+from load_balancer.net.client.http_request import (
+    BadRequestError,
+    RequestHead,
+    check_framing,
+    max_body_bytes,
+    read_head,
+)
 from load_balancer.net.http_messages import MAX_BODY_BYTES, Headers
 
 READINESS_PATH = b"/ready"
@@ -19,6 +25,7 @@
     Attributes:
         head: The validated head; None for a readiness check and between requests.
         body: The part of the body received so far.
+        max_body_bytes: The largest size that the body may have.
     """
 
     def __init__(self, classes: Mapping[str, messages.RequestClass]) -> None:
@@ -29,6 +36,7 @@
         """
         self.head: RequestHead | None = None
         self.body = bytearray()
+        self.max_body_bytes = 0
         self._classes = classes
 
     def begin(self, event: h11.Request) -> None:
@@ -43,9 +51,10 @@
         self.body.clear()
         path = event.target.partition(b"?")[0]
         if path == READINESS_PATH:
-            check_framing(event)
+            self.max_body_bytes = max_body_bytes(check_framing(event))
         else:
             self.head = read_head(event, self._classes)
+            self.max_body_bytes = self.head.max_body_bytes
 
     def add_body(self, data: bytes) -> None:
         """Append a part of the body.
@@ -57,6 +66,12 @@
         if len(self.body) > MAX_BODY_BYTES:
             raise BadRequestError(413, "body exceeds the limit")
 
+    def take_body(self) -> bytes:
+        """Return the complete body, and keep no copy of it."""
+        body = bytes(self.body)
+        self.body.clear()
+        return body
+
     def forwarded_headers(self, head: RequestHead) -> Headers:
         """Return the headers for the endpoint: those of the head, and the content length except for a GET."""
         headers = list(head.headers)
@@ -67,4 +82,5 @@
     def clear(self) -> None:
         """Discard the request after its response."""
         self.head = None
+        self.max_body_bytes = 0
         self.body.clear()
--- a/load_balancer/net/client/receive_buffer.py
+++ b/load_balancer/net/client/receive_buffer.py
@@ -8,18 +8,35 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from load_balancer.net.client import client_limits as limits
+from load_balancer.net.memory_budget import MemoryBudget
 from load_balancer.net.receive_scheduler import expected_parsing_s
 
 
 @dataclass(slots=True)
 class BufferedTotal:
-    """Total number of bytes in the receive buffers of all connections."""
+    """Total number of bytes in the receive buffers of all connections, and what it is limited by.
 
+    Attributes:
+        budget: The memory budget of the process. The limits are shares of its limit on requests.
+        size_bytes: The total.
+    """
+
+    budget: MemoryBudget = field(default_factory=MemoryBudget)
     size_bytes: int = 0
 
+    @property
+    def limit_bytes(self) -> float:
+        """Connections with buffered bytes are not read above this total."""
+        return min(limits.MAX_BUFFERED_BYTES, limits.READ_AHEAD_SHARE * self.budget.limits.requests_bytes)
+
+    @property
+    def connection_limit_bytes(self) -> float:
+        """A connection is not read while what it has buffered takes more memory than this."""
+        return limits.CONNECTION_READ_AHEAD_SHARE * self.budget.limits.requests_bytes
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedPiece:
@@ -56,7 +73,14 @@
         """Whether to pause reading: this buffer is over its limit, or it is not empty and the total is."""
         if self.size_bytes > limits.MAX_BUFFERED_BYTES_PER_CONNECTION:
             return True
-        return bool(self) and self._total.size_bytes > limits.MAX_BUFFERED_BYTES
+        if self.memory_bytes > self._total.connection_limit_bytes:
+            return True
+        return bool(self) and self._total.size_bytes > self._total.limit_bytes
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the buffered pieces take."""
+        return self.size_bytes + len(self._pieces) * limits.PIECE_BYTES
 
     @property
     def expected_parsing_s(self) -> float:
--- a/load_balancer/net/client/request_forwarder.py
+++ b/load_balancer/net/client/request_forwarder.py
@@ -15,8 +15,10 @@
 from load_balancer.net.client.http_request import BadRequestError, RequestHead
 from load_balancer.net.client.http_response import SERVICE_UNAVAILABLE
 from load_balancer.net.client.incoming_request import IncomingRequest
+from load_balancer.net.client.request_memory import RequestMemoryState, request_cost_bytes
 from load_balancer.net.driver.client_messages import ClientRequest, ClientResponse
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
+from load_balancer.net.event_counters import EventKind
 
 
 class RequestForwarder:
@@ -26,6 +28,7 @@
         self,
         connection: ClientConnection,
         incoming: IncomingRequest,
+        memory_state: RequestMemoryState,
         clients: ClientRegistry[ClientConnection],
         driver: EventLoopDriver,
     ) -> None:
@@ -34,9 +37,11 @@
         Args:
             connection: The client connection.
             incoming: The request that is being received on the connection.
+            memory_state: What the connection holds for its requests.
             clients: The registry of open connections.
             driver: The driver that requests are forwarded to.
         """
+        self._memory_state = memory_state
         self._connection = connection
         self._incoming = incoming
         self._clients = clients
@@ -65,6 +70,7 @@
             return
         self._check_id(head)
         if head.is_unsafe and not self._driver.can_retain_id():
+            self._clients.counters.count(EventKind.ID_TABLE_FULL)
             self._respond(on_next_request, SERVICE_UNAVAILABLE)
             return
         self._forward(head, on_next_request)
@@ -75,6 +81,7 @@
             # An endpoint would take this request for a retry of the open one, and might drop it.
             raise BadRequestError(409, "Req-Id is already used by an open request")
         if self._driver.is_id_in_use(head.request_id):
+            self._clients.counters.count(EventKind.ID_IN_USE)
             # A 429 or 503 would promise that nothing has run.
             raise BadRequestError(409, "Req-Id was used by a request that may have run")
 
@@ -87,7 +94,9 @@
     def cancel_open_request(self) -> None:
         """Cancel the open request after the connection is lost. Do nothing if no request is open."""
         if not self._connection.is_waiting_for_response:
+            self._incoming.clear()
             return
+        self._clients.counters.count(EventKind.CLIENT_LEFT)
         self._end_request()
         if self._connection.forwarded_request_id is not None:
             self._driver.cancel_request(self._connection.forwarded_request_id)
@@ -97,6 +106,7 @@
         client_request = self._to_client_request(head, on_next_request)
         if not connection.is_client_connected():
             return
+        self._clients.memory.settle(self._memory_state, request_cost_bytes(len(client_request.body)))
         self._clients.open_request_ids.add(head.request_id)
         connection.transition_to(ConnectionState.WAITING_FOR_RESPONSE)
         request_id = self._driver.accept_request(client_request)
@@ -107,7 +117,12 @@
         # The time remaining counts from the receipt of the last byte, also if the request waited behind
         # another one.
         now_s = self._loop.time()
-        waited_s = now_s - self._connection.http.last_parsed_received_at_s
+        received_at_s = self._connection.http.last_parsed_received_at_s
+        if self._memory_state.waited_from_s is not None:
+            # Bytes that arrived while the connection was not read count as received when the wait began.
+            received_at_s = min(received_at_s, self._memory_state.waited_from_s)
+        waited_s = now_s - received_at_s
+        headers = self._incoming.forwarded_headers(head)
         return ClientRequest(
             request_id=head.request_id,
             class_name=head.class_name,
@@ -117,8 +132,8 @@
             is_retry=head.is_retry,
             method=head.method,
             target=head.target,
-            headers=self._incoming.forwarded_headers(head),
-            body=bytes(self._incoming.body),
+            headers=headers,
+            body=self._incoming.take_body(),
             respond=partial(self._respond, on_next_request),
             is_client_connected=self._connection.is_client_connected,
         )
@@ -138,4 +153,5 @@
                 self._clients.open_request_ids.discard(head.request_id)
             self._connection.transition_to(ConnectionState.READING)
         self._incoming.clear()
+        self._clients.memory.release(self._memory_state, self._connection.http.memory_bytes)
         self._clients.disconnect_poller.stop_polling(self._connection)
--- a/load_balancer/net/socket_state.py
+++ b/load_balancer/net/socket_state.py
@@ -8,8 +8,11 @@
 
 import asyncio
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 # No descriptor or memory for another socket; see socket(2) and accept(2).
 DESCRIPTOR_SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -31,6 +34,21 @@
     return default if events is None else bool(events)
 
 
+def unread_byte_count(transport: asyncio.BaseTransport) -> int:
+    """Return the number of bytes that a connection has received and not read.
+
+    The result is 0 if the system cannot tell, or if the connection is closing.
+    """
+    if transport.is_closing():
+        return 0
+    buffer = bytearray(struct.calcsize("i"))
+    try:
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, buffer)
+    except OSError:
+        return 0
+    return int(struct.unpack("i", buffer)[0])
+
+
 def is_closed_by_remote(transport: asyncio.BaseTransport) -> bool:
     """Return whether the remote side is known to send no more, even if earlier bytes are still unread."""
     events = _poll_events(transport, select.POLLRDHUP) or 0
--- a/load_balancer/net/upstream/connection_pool.py
+++ b/load_balancer/net/upstream/connection_pool.py
@@ -10,6 +10,7 @@
 
 from load_balancer.net.addresses import EndpointAddress
 from load_balancer.net.receive_scheduler import ReceiveScheduler
+from load_balancer.net.shared_resources import SharedResources
 from load_balancer.net.upstream.connect_pacing import ConnectPacing
 from load_balancer.net.upstream.connection_queue import ConnectionQueue
 from load_balancer.net.upstream.connection_reuse import ConnectionReuse
@@ -18,6 +19,7 @@
 from load_balancer.net.upstream.open_connections import OpenConnections
 from load_balancer.net.upstream.pending_connects import PendingConnects
 from load_balancer.net.upstream.pool_components import PoolComponents
+from load_balancer.net.upstream.response_memory import ResponseMemory
 from load_balancer.net.upstream.upstream_attempt import AttemptTimes, UpstreamAttempt
 from load_balancer.net.upstream.upstream_messages import OnOutcome, UpstreamRequest
 from load_balancer.net.upstream.waiting_attempts import WaitingAttempts
@@ -32,6 +34,7 @@
         loop: The event loop.
         idle: The idle connections.
         connections: The open connections, including the idle ones.
+        memory: The memory that responses hold.
         connector: Opens connections.
         pending: The pending connects.
         waiting: The attempts waiting for a connection.
@@ -47,6 +50,7 @@
         max_connections: int,
         handshake_cost: float = 0.0,
         scheduler: ReceiveScheduler | None = None,
+        shared: SharedResources | None = None,
     ) -> None:
         """Create an empty pool; requires a running event loop.
 
@@ -57,12 +61,15 @@
             handshake_cost: The cost of a new connection, as a share of a request's priority weight.
             scheduler: Decides when the bytes received from endpoints are processed; by default one of the
                 pool's own.
+            shared: The memory budget and the counters of the process; by default some of the pool's own.
         """
+        shared = shared or SharedResources()
         self.loop = asyncio.get_running_loop()
         self.idle = IdleConnections(self.loop, idle_limit_s)
-        self.connections = OpenConnections(self.loop, self.idle, max_connections)
+        self.connections = OpenConnections(self.loop, self.idle, max_connections, shared.budget)
         scheduler = scheduler or ReceiveScheduler()
-        self.connector = Connector(self.loop, scheduler, self.connections, connect_timeout_s)
+        self.memory = ResponseMemory(shared)
+        self.connector = Connector(self.loop, scheduler, self.memory, self.connections, connect_timeout_s)
         self.pending = PendingConnects(self.loop, self.connector)
         self.waiting = WaitingAttempts()
         self.pacing = ConnectPacing(self.loop, connect_timeout_s, handshake_cost)
@@ -115,5 +122,6 @@
 
     def close(self) -> None:
         """Close all connections and cancel all pending connects."""
+        self.memory.close()
         self.pending.cancel_all()
         self.connections.close()
--- a/load_balancer/net/upstream/connector.py
+++ b/load_balancer/net/upstream/connector.py
@@ -8,6 +8,7 @@
 from load_balancer.net.addresses import EndpointAddress
 from load_balancer.net.receive_scheduler import ReceiveScheduler
 from load_balancer.net.socket_state import has_never_connected
+from load_balancer.net.upstream.response_memory import ResponseMemory
 from load_balancer.net.upstream.upstream_connection import ConnectionOwner, UpstreamConnection
 
 
@@ -18,6 +19,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         scheduler: ReceiveScheduler,
+        memory: ResponseMemory,
         owner: ConnectionOwner,
         connect_timeout_s: float,
     ) -> None:
@@ -26,11 +28,13 @@
         Args:
             loop: The event loop.
             scheduler: Decides when the bytes received on the connections are processed.
+            memory: The memory that responses on the connections hold.
             owner: The owner of the connections.
             connect_timeout_s: The timeout of a connect in seconds.
         """
         self._loop = loop
         self._scheduler = scheduler
+        self._memory = memory
         self._owner = owner
         self._connect_timeout_s = connect_timeout_s
 
@@ -42,7 +46,7 @@
         """
         async with asyncio.timeout(self._connect_timeout_s):
             transport, connection = await self._loop.create_connection(
-                lambda: UpstreamConnection(self._loop, self._scheduler, self._owner, endpoint),
+                lambda: UpstreamConnection(self._loop, self._scheduler, self._memory, self._owner, endpoint),
                 *endpoint.address,
             )
         if has_never_connected(transport):
--- a/load_balancer/net/upstream/http_exchange.py
+++ b/load_balancer/net/upstream/http_exchange.py
@@ -86,12 +86,27 @@
         self._unparsed_pieces: deque[bytes] = deque()  # not passed to h11 yet; an empty one is the end
         self._has_unhandled_events = False  # whether h11 may return further events without further bytes
         self._expected_partial_event_s = 0.0  # expected time to parse the bytes that h11 has not parsed yet
+        self._unparsed_bytes = 0  # in the pieces
+        self._parser_bytes = 0  # bytes that h11 has not parsed
 
     @property
     def has_unprocessed_bytes(self) -> bool:
         """Whether received bytes, or the end of the stream, wait for the next step."""
         return self._has_unhandled_events or bool(self._unparsed_pieces)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the received part of a response takes."""
+        return self._unparsed_bytes + self._parser_bytes + len(self._body)
+
+    @property
+    def max_response_bytes(self) -> int:
+        """The largest size that the current response may have, by its head if that has been received."""
+        if self._head is None:
+            return MAX_HEAD_BYTES + MAX_PIECE_BYTES + MAX_BODY_BYTES
+        length = dict(self._head.headers).get(b"content-length")
+        return MAX_PIECE_BYTES + (MAX_BODY_BYTES if length is None else int(length))
+
     @property
     def expected_event_s(self) -> float:
         """Expected time to parse the next event in seconds, by the bytes that it may consist of."""
@@ -125,8 +140,11 @@
         """End the exchange, with or without its response, and discard unprocessed bytes."""
         self.state = ExchangeState.IDLE
         self._has_unhandled_events = False
+        self._parser_bytes = 0
+        self._body = bytearray()  # an idle connection keeps no memory of its last response
         if self._unparsed_pieces:
             self._unparsed_pieces.clear()
+            self._unparsed_bytes = 0
 
     def encode_request(self, request: UpstreamRequest, headers: Headers) -> bytes:
         """Return the encoded bytes of a request.
@@ -147,6 +165,7 @@
 
     def receive(self, data: bytes) -> None:
         """Buffer bytes received from the endpoint; empty `data` means the end of the stream."""
+        self._unparsed_bytes += len(data)
         if len(data) <= MAX_PIECE_BYTES:
             self._unparsed_pieces.append(data)
             return
@@ -183,14 +202,18 @@
                     if not self._feed_parser():
                         self._has_unhandled_events = False
                         break
-        self._expected_partial_event_s = expected_parsing_s(self._http.trailing_data[0])
+        unparsed = self._http.trailing_data[0]
+        self._parser_bytes = len(unparsed)
+        self._expected_partial_event_s = expected_parsing_s(unparsed)
         return None
 
     def _feed_parser(self) -> bool:
         """Pass the oldest buffered piece to h11, and return whether there was one."""
         if not self._unparsed_pieces:
             return False
-        self._http.receive_data(self._unparsed_pieces.popleft())
+        piece = self._unparsed_pieces.popleft()
+        self._unparsed_bytes -= len(piece)
+        self._http.receive_data(piece)
         return True
 
     def finish_cycle(self) -> bool:
--- a/load_balancer/net/upstream/open_connections.py
+++ b/load_balancer/net/upstream/open_connections.py
@@ -10,9 +10,12 @@
 import math
 
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.memory_budget import MemoryBudget, MemoryOwner
 from load_balancer.net.upstream.idle_connections import IdleConnections
 from load_balancer.net.upstream.upstream_connection import UpstreamConnection
 
+# Memory of the transport, parser and state of a connection, as charged to the memory budget.
+ENDPOINT_CONNECTION_BYTES = 6 * 1024
 READ_SIZE_BYTES = 64 * 1024  # maximum size of one read; a body of the protocol's maximum size takes two
 
 
@@ -28,15 +31,23 @@
             received bytes, by the event loop's clock.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, idle: IdleConnections, max_connections: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        idle: IdleConnections,
+        max_connections: int,
+        budget: MemoryBudget,
+    ) -> None:
         """Start without connections.
 
         Args:
             loop: The event loop, used for its clock.
             idle: The idle connections.
             max_connections: The limit on open and pending connections to all endpoints together.
+            budget: The memory budget, which each open connection is charged to.
         """
         self._loop = loop
+        self._budget = budget
         self.idle = idle
         self.max_connections = max_connections
         self.open: set[UpstreamConnection] = set()
@@ -50,11 +61,14 @@
     def connection_opened(self, connection: UpstreamConnection) -> None:
         """Add an established connection."""
         self.open.add(connection)
+        self._budget.change(MemoryOwner.ENDPOINT_CONNECTIONS, ENDPOINT_CONNECTION_BYTES)
         self.record_activity(connection.endpoint)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
-        self.open.discard(connection)
+        if connection in self.open:
+            self.open.remove(connection)
+            self._budget.change(MemoryOwner.ENDPOINT_CONNECTIONS, -ENDPOINT_CONNECTION_BYTES)
         self.idle.remove(connection)
 
     def remove_idle(self, connection: UpstreamConnection) -> None:
--- a/load_balancer/net/upstream/upstream_connection.py
+++ b/load_balancer/net/upstream/upstream_connection.py
@@ -17,14 +17,18 @@
 
 from load_balancer.messages import Outcome
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.memory_budget import MemoryAccount, MemoryOwner
 from load_balancer.net.receive_scheduler import ReceiveScheduler, ReceiveState
 from load_balancer.net.upstream.http_exchange import ExchangeState, HttpExchange, InvalidResponseError
 from load_balancer.net.upstream.request_checks import encode_request, reason_not_to_write
+from load_balancer.net.upstream.response_memory import ResponseMemory
 from load_balancer.net.upstream.response_timer import ResponseTimer
 from load_balancer.net.upstream.upstream_messages import UpstreamRequest, UpstreamResponse
 
 log = logging.getLogger(__name__)
 
+SMALL_READ_SIZE_BYTES = 2 * 1024  # maximum size of one read while memory is short
+UNRESERVED_RESPONSE_BYTES = 4 * 1024  # the received part of a response that needs no reservation
 # Limit on the time from a response's first byte to its last; the endpoint has finished its work by the first.
 RESPONSE_COMPLETION_TIMEOUT_S = 1.0
 
@@ -95,6 +99,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         scheduler: ReceiveScheduler,
+        memory: ResponseMemory,
         owner: ConnectionOwner,
         endpoint: EndpointAddress,
     ) -> None:
@@ -103,6 +108,7 @@
         Args:
             loop: The event loop.
             scheduler: Decides when received bytes are processed.
+            memory: The memory that responses hold.
             owner: The owner, which is notified of events.
             endpoint: The endpoint.
         """
@@ -117,6 +123,10 @@
         self.idle_since_s = 0.0
         self._exchange = HttpExchange()
         self._response_timer = ResponseTimer(loop)
+        self._memory = memory
+        self._is_waiting_for_memory = False
+        self._received_account = MemoryAccount(memory.shared.budget, MemoryOwner.RESPONSES)
+        self._unsent_account = MemoryAccount(memory.shared.budget, MemoryOwner.UNSENT_REQUESTS)
 
     @property
     def has_written_request(self) -> bool:
@@ -155,7 +165,9 @@
         self.transport.write(data)
         if self.transport.is_closing():  # the write failed, so the last byte was not accepted
             return Outcome.NO_CONNECTION
-        if self.transport.get_write_buffer_size() == 0:
+        unsent_bytes = self.transport.get_write_buffer_size()
+        self._unsent_account.set(unsent_bytes)
+        if unsent_bytes == 0:
             self._exchange.request_written()
         return None
 
@@ -168,6 +180,9 @@
         self.attempt = None
         self._exchange.end()
         self._response_timer.stop()
+        self._is_waiting_for_memory = False
+        self._received_account.set(0)
+        self._memory.release(self)
 
     def close(self) -> None:
         """Close the connection immediately, and discard bytes that are not written yet."""
@@ -189,11 +204,14 @@
 
     def resume_writing(self) -> None:
         """Record that the complete request has been written."""
+        self._unsent_account.set(0)
         self._exchange.request_written()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
-        return self._owner.read_buffer
+        if self._memory.may_read_fully(self):
+            return self._owner.read_buffer
+        return self._owner.read_buffer[:SMALL_READ_SIZE_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Copy the bytes that were read."""
@@ -203,10 +221,37 @@
         """Take bytes received from the endpoint."""
         self._owner.record_activity(self.endpoint)
         self._receive(data)
+        if self.attempt is None:
+            return
         if self.receive_state.is_queued:
-            self._is_reading_paused = True
-            self.transport.pause_reading()
-            self._response_timer.pause()
+            self._pause_reading()
+        self._reserve_memory()
+
+    def _pause_reading(self) -> None:
+        self._is_reading_paused = True
+        self.transport.pause_reading()
+        self._response_timer.pause()
+
+    def _reserve_memory(self) -> None:
+        """Charge what has been received, and stop reading until there is memory for the rest."""
+        if self._exchange.memory_bytes > UNRESERVED_RESPONSE_BYTES:
+            self._is_waiting_for_memory = not self._memory.reserve(self, self._exchange.max_response_bytes)
+        if self._is_waiting_for_memory:
+            self._pause_reading()
+        self._charge_received()
+
+    def _charge_received(self) -> None:
+        is_reserved = self._memory.has_reserved(self)
+        self._received_account.set(0 if is_reserved else self._exchange.memory_bytes)
+
+    def resume_response(self) -> None:
+        """Go on reading the response, which has its memory now."""
+        self._is_waiting_for_memory = False
+        self._charge_received()
+        if self.attempt is not None and not self._exchange.has_unprocessed_bytes:
+            self._is_reading_paused = False
+            self.transport.resume_reading()
+            self._limit_response_time()
 
     def eof_received(self) -> bool:
         """Take the end of the endpoint's stream.
@@ -225,6 +270,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner that the connection is closed, and fail the exchange if there is one."""
         self._owner.connection_closed(self)
+        self._unsent_account.set(0)
         self._suspend_reuse_if_stale()
         self._fail_exchange()
 
@@ -262,16 +308,19 @@
         except Exception:  # otherwise the request would wait until its attempt times out
             log.exception("unexpected error while processing a response; closing its connection")
             self._fail_exchange()
+        if self.attempt is not None:
+            self._charge_received()
         return self._exchange.has_unprocessed_bytes
 
     def _handle_progress(self, response: UpstreamResponse | None) -> None:
-        if self._is_reading_paused and not self._exchange.has_unprocessed_bytes:
+        is_processed = not self._exchange.has_unprocessed_bytes
+        if self._is_reading_paused and is_processed and not self._is_waiting_for_memory:
             self._is_reading_paused = False
             self.transport.resume_reading()
         if response is not None:
             reusable = not self.transport.is_closing() and self._exchange.finish_cycle()
             self._end_exchange(response.outcome, response, reusable=reusable)
-        elif not self._exchange.has_unprocessed_bytes:
+        elif is_processed and not self._is_waiting_for_memory:
             self._limit_response_time()
 
     def _limit_response_time(self) -> None:
--- a/load_balancer/process/config.py
+++ b/load_balancer/process/config.py
@@ -32,6 +32,7 @@
 CONFIG_VARIABLE = "NODE_CONFIG"
 OVERRIDE_VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY"}
 DEFAULT_DESCRIPTORS = 1024  # used if `limits.sockets` is absent
+DEFAULT_MEMORY_MB = 192  # used if `limits.memory_mb` is absent
 
 
 @dataclass(frozen=True)
@@ -43,6 +44,7 @@
     discovery: Address
     seed: int
     sockets: int  # number of file descriptors that the platform allows
+    memory_mb: int  # MiB of resident memory above which the platform kills the process
     connect_timeout_s: float
     idle_s: float  # a connection to an endpoint is not reused after it was idle for longer
     cached_list: EndpointListMessage | None  # the last endpoint list known before this start
@@ -122,6 +124,8 @@
     idle_us = required_field(limits, "connIdleUs", int, "settings.limits.")
     process_limits = optional_field(fields, "limits", {})
     sockets = optional_field(process_limits, "sockets", DEFAULT_DESCRIPTORS, "limits.")
+    memory_mb = optional_field(process_limits, "memory_mb", DEFAULT_MEMORY_MB, "limits.")
+    check_minimum("limits.memory_mb", memory_mb, 1)
     check_minimum("settings.limits.connectTimeoutUs", connect_timeout_us, 1)
     check_minimum("settings.limits.connIdleUs", idle_us, 0)
     check_minimum("limits.sockets", sockets, 1)
@@ -131,6 +135,7 @@
         discovery=read_address(required_field(fields, "discovery", str), "discovery"),
         seed=read_seed(fields),
         sockets=sockets,
+        memory_mb=memory_mb,
         connect_timeout_s=connect_timeout_us / 1e6,
         idle_s=idle_us / 1e6,
         cached_list=read_cached_list(fields.get("known")),
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -15,10 +15,14 @@
 from load_balancer.net.discovery.endpoint_watch import POLLED_LIST_TIMEOUT_S
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
 from load_balancer.net.receive_scheduler import ReceiveScheduler
+from load_balancer.net.shared_resources import SharedResources
 from load_balancer.net.upstream.connection_pool import ConnectionPool
+from load_balancer.process.allocator import configure_allocator, return_free_memory
 from load_balancer.process.config import Config, ConfigSource
 from load_balancer.process.descriptor_limits import divide_descriptors
 from load_balancer.process.graceful_shutdown import GracefulShutdown
+from load_balancer.process.memory_guard import MemoryGuard
+from load_balancer.process.memory_limits import MIB, divide_memory, limit_connections, resident_bytes
 from load_balancer.process.reload import Reloader
 from load_balancer.process.signals import RELOAD_SIGNAL, STOP_SIGNALS, block_signals
 
@@ -35,6 +39,7 @@
 
 async def serve_until_stopped(config: Config, source: ConfigSource) -> None:
     """Build the proxy, listen after discovery has first reported, and shut down on a stop signal."""
+    configure_allocator()
     stop = install_stop_handlers()
     proxy = build_proxy(config)
     reloader = Reloader(source, config, proxy.driver)
@@ -45,11 +50,13 @@
     # list may be outdated. The timeout covers an established watch that never sends a list.
     await wait_for_any(proxy.driver.discovery_reported, stop, timeout_s=POLLED_LIST_TIMEOUT_S)
     if not stop.is_set():
+        guard = proxy.limit_memory(config)
         address = proxy.listener.listen(config.listen)
         log.info("%s listens on %s:%d", config.name, *address)
         await stop.wait()
         log.info("stop signal received; shutting down gracefully")
         await GracefulShutdown(proxy.listener, proxy.driver, config.settings.longest_deadline_s).run()
+        guard.close()
     reloader.close()
 
 
@@ -59,12 +66,32 @@
 
     driver: EventLoopDriver
     listener: ClientListener
+    shared: SharedResources
+
+    def limit_memory(self, config: Config) -> MemoryGuard:
+        """Limit what may be held for peers to what the ready process leaves, and start the guard."""
+        held_bytes = resident_bytes()
+        limits = divide_memory(config.memory_mb * MIB, held_bytes).limits
+        self.shared.budget.limits = limits
+        log.info(
+            "memory: %d of %d KiB held when ready; requests may hold %d KiB, responses %d KiB",
+            held_bytes // 1024,
+            config.memory_mb * 1024,
+            limits.requests_bytes // 1024,
+            limits.responses_bytes // 1024,
+        )
+        return MemoryGuard(
+            config.memory_mb * MIB, self.listener, self.shared, resident_bytes, return_free_memory
+        )
 
 
 def build_proxy(config: Config) -> Proxy:
     """Create the parts of a proxy and connect them; nothing listens or connects yet."""
     settings = config.settings
-    limits = divide_descriptors(config.sockets)
+    division = divide_memory(config.memory_mb * MIB, resident_bytes())
+    descriptors = divide_descriptors(config.sockets)
+    limits = limit_connections(descriptors, division.connections_bytes)
+    shared = SharedResources()
     scheduler = ReceiveScheduler()
     pool = ConnectionPool(
         config.connect_timeout_s,
@@ -72,11 +99,14 @@
         limits.upstream_connections,
         settings.handshake_cost,
         scheduler,
+        shared,
     )
     driver = EventLoopDriver(settings, config.seed, pool, config.discovery)
     classes = {request_class.name: request_class for request_class in settings.classes}
-    listener = ClientListener(driver, classes, limits.client_connections, scheduler)
-    return Proxy(driver, listener)
+    listener = ClientListener(
+        driver, classes, limits.client_connections, scheduler, shared, descriptors.client_connections
+    )
+    return Proxy(driver, listener, shared)
 
 
 def install_stop_handlers() -> asyncio.Event:
--- a/tests/net/client/test_client_registry.py
+++ b/tests/net/client/test_client_registry.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from load_balancer.net.client import client_limits
 from load_balancer.net.client.client_connection import ClientConnection
 from tests.support.endpoint_lists import endpoint_entry
 from tests.support.http_messages import http_request, http_response, read_http_message, response_status
@@ -132,3 +133,19 @@
         monkeypatch.setattr(proxy.clients, "add", send_disconnect_and_add)
         assert response_status(await proxy.send_request(http_request(request_id="r2"))) == 200
         assert len(endpoint.received) == 1
+
+
+async def test_slow_request_is_evicted_at_the_limit_although_its_bytes_keep_arriving() -> None:
+    async with (
+        StandInEndpoint(http_response(200, b"x")) as endpoint,
+        running_proxy(endpoint_entry("s-1", endpoint.port), max_connections=1) as proxy,
+    ):
+        slow = SocketClient(proxy)
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        while loop.time() < began_at_s + client_limits.SLOW_REQUEST_S + 0.1:
+            slow.send(b"GET /" if loop.time() == began_at_s else b"a")
+            await asyncio.sleep(0.005)
+        slow.send(b"a")
+        assert response_status(await proxy.send_request(http_request())) == 200
+        slow.disconnect("RST")
--- a/tests/net/client/test_http_request.py
+++ b/tests/net/client/test_http_request.py
@@ -44,6 +44,7 @@
         method=b"GET",
         target=b"/api?x=1",
         headers=[(b"host", b"x"), (b"req-id", b"a1"), (b"content-type", b"a/b")],
+        max_body_bytes=0,
     )
 
 
--- a/tests/support/loopback_proxy.py
+++ b/tests/support/loopback_proxy.py
@@ -14,7 +14,9 @@
 from load_balancer.net.client.client_registry import ClientRegistry
 from load_balancer.net.clock import Clock, monotonic_us
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
+from load_balancer.net.memory_budget import DEFAULT_LIMITS, MemoryBudget, MemoryLimits
 from load_balancer.net.receive_scheduler import ReceiveScheduler
+from load_balancer.net.shared_resources import SharedResources
 from load_balancer.net.upstream.connection_pool import ConnectionPool
 from load_balancer.net.upstream.upstream_connection import UpstreamConnection
 from tests.support.balancer_harness import balancer_settings
@@ -56,6 +58,7 @@
     listener: ClientListener
     pool: ConnectionPool
     port: int
+    shared: SharedResources
     _policy_clock_offset: PolicyClockOffset
 
     @property
@@ -100,21 +103,26 @@
     idle_timeout_s: float = 30.0,
     max_connections: int = 100,
     connect_timeout_s: float = 5.0,
+    memory: MemoryLimits = DEFAULT_LIMITS,
 ) -> AsyncIterator[LoopbackProxy]:
     """Run a proxy with these endpoints in its cached list; it watches discovery if a port is given."""
     settings = settings or balancer_settings()
     scheduler = ReceiveScheduler()
-    pool = ConnectionPool(connect_timeout_s, idle_timeout_s, max_connections, scheduler=scheduler)
+    shared = SharedResources(MemoryBudget(memory))
+    pool = ConnectionPool(
+        connect_timeout_s, idle_timeout_s, max_connections, scheduler=scheduler, shared=shared
+    )
     clock_offset = PolicyClockOffset()
     discovery = ("127.0.0.1", discovery_port)
     driver = EventLoopDriver(settings, 1, pool, discovery, clock_offset.clock())
-    listener = ClientListener(driver, {c.name: c for c in settings.classes}, max_connections, scheduler)
+    classes = {request_class.name: request_class for request_class in settings.classes}
+    listener = ClientListener(driver, classes, max_connections, scheduler, shared)
     _, port = listener.listen(("127.0.0.1", 0))
     if discovery_port == NO_DISCOVERY_PORT:  # without discovery, the cached list stays unchanged
         driver.endpoint_list.watch.start = lambda: None  # type: ignore[method-assign]
     driver.start(parsed_endpoint_list(*endpoint_entries) if endpoint_entries else None)
     try:
-        yield LoopbackProxy(driver, listener, pool, port, clock_offset)
+        yield LoopbackProxy(driver, listener, pool, port, shared, clock_offset)
     finally:
         listener.stop_listening()
         listener.close()
