Do not keep a malformed peer's connection in memory until a garbage collection

What callers saw: 300 peers that sent heads of 17 KB, which get a 431, still drove the process over 32 MB with the budget in place: 31.5 MB resident, of which 5 MB were charged to nobody. Cause: h11 raises RemoteProtocolError from a frame that refers to the error, so error, traceback, frames, connection, parser and received bytes form a cycle. With the collector off, 50 of 50 such connections stayed alive; none of those whose error was the proxy's own.

The handlers drop the traceback. The test fails without it.

--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -27,6 +27,7 @@
 from load_balancer.net.driver.client_messages import ClientResponse
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
 from load_balancer.net.event_counters import EventKind
+from load_balancer.net.http_parser import forget_frames
 from load_balancer.net.receive_scheduler import ReceiveScheduler, ReceiveState
 from load_balancer.net.socket_state import unread_byte_count
 
@@ -128,6 +129,7 @@
         try:
             return self._parse_events()
         except h11.RemoteProtocolError as error:
+            forget_frames(error)
             self._clients.counters.count(EventKind.REQUEST_INVALID)
             self._forwarder.reject(ClientResponse(error.error_status_hint))
         except BadRequestError as error:
--- a/load_balancer/net/discovery/endpoint_watch.py
+++ b/load_balancer/net/discovery/endpoint_watch.py
@@ -17,6 +17,7 @@
 from load_balancer.net.discovery.endpoint_list import EndpointListMessage, merge_changes
 from load_balancer.net.discovery.held_version import HeldVersion
 from load_balancer.net.discovery.watch_stream import WatchProgress, WatchStream
+from load_balancer.net.http_parser import forget_frames
 from load_balancer.net.repeated_log_lines import LogLine, RepeatedLogLines, RunLimits
 
 log = logging.getLogger(__name__)
@@ -122,6 +123,7 @@
         try:
             await self._read_lists()
         except (WireError, OSError, h11.RemoteProtocolError) as error:
+            forget_frames(error)
             now_s = asyncio.get_running_loop().time()
             # A TimeoutError has no text.
             self._failure_log.record(now_s, str(error) or "no list or heartbeat before the timeout")
--- a/load_balancer/net/http_parser.py
+++ b/load_balancer/net/http_parser.py
@@ -22,6 +22,15 @@
 DEFAULT_MAX_HEAD_BYTES = 16 * 1024  # limit of the connections to discovery
 
 
+def forget_frames(error: BaseException) -> None:
+    """Drop the traceback of a handled error.
+
+    h11 raises its errors from a frame that refers to the error. Error, frames, connection and all received
+    bytes would stay in memory until the garbage collector finds that cycle.
+    """
+    error.__traceback__ = None
+
+
 def new_parser(
     role: type[h11.CLIENT] | type[h11.SERVER], max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
 ) -> h11.Connection:
--- a/load_balancer/net/upstream/upstream_connection.py
+++ b/load_balancer/net/upstream/upstream_connection.py
@@ -17,6 +17,7 @@
 
 from load_balancer.messages import Outcome
 from load_balancer.net.addresses import EndpointAddress
+from load_balancer.net.http_parser import forget_frames
 from load_balancer.net.memory_budget import MemoryAccount, MemoryOwner
 from load_balancer.net.receive_scheduler import ReceiveScheduler, ReceiveState
 from load_balancer.net.upstream.http_exchange import ExchangeState, HttpExchange, InvalidResponseError
@@ -303,7 +304,8 @@
         try:
             response = self._exchange.process()
             self._handle_progress(response)
-        except (h11.RemoteProtocolError, InvalidResponseError):
+        except (h11.RemoteProtocolError, InvalidResponseError) as error:
+            forget_frames(error)
             self._fail_exchange()
         except Exception:  # otherwise the request would wait until its attempt times out
             log.exception("unexpected error while processing a response; closing its connection")
--- a/tests/net/client/test_request_memory.py
+++ b/tests/net/client/test_request_memory.py
@@ -6,10 +6,12 @@
 import gc
 import random
 import tracemalloc
+import weakref
 
 import pytest
 
 from load_balancer.net.client import client_limits
+from load_balancer.net.client.client_connection import ClientConnection
 from load_balancer.net.client.request_memory import request_cost_bytes
 from load_balancer.net.event_counters import EventKind
 from load_balancer.net.memory_admission import STALLED_AFTER_S
@@ -228,6 +230,24 @@
         )
 
 
+@pytest.mark.parametrize("data", [b"no http\r\n\r\n", b"GET /api HTTP/1.1\r\nA: " + b"b" * 20_000])
+async def test_malformed_request_does_not_stay_in_memory_until_a_garbage_collection(data: bytes) -> None:
+    connections: weakref.WeakSet[ClientConnection] = weakref.WeakSet()
+    async with running_proxy() as proxy:
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(5):
+                [(reader, writer)] = await send_requests(proxy, data)
+                connections.update(proxy.clients.open_connections)
+                await reader.read(100)
+                writer.close()
+            await wait_until(lambda: not proxy.clients.open_connections)
+            await wait_until(lambda: not connections)
+        finally:
+            gc.enable()
+
+
 async def test_charges_cover_what_connections_and_requests_allocate() -> None:
     """The charges are compared with the memory that Python has allocated for many of each."""
     count = 50
