Refuse incomplete requests at the end of the shutdown instead of waiting for them

The last phase waited its whole 0.2 s for requests that would never be complete. They get their 503 at its start, so that the process exits once the last responses are written.

The soak test, found by its own first runs: the fault proxy forwarded requests that the proxy had taken back while the connection was late, a client dated a write that a planned kill broke to after the kill, and peers came back without a pause, so that the system's queue of connections overflowed. None of the three was the proxy's fault.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -178,10 +178,11 @@
         keeps_open = False
         try:
             try:
-                await connection.write(data, slowly=slowly)
                 request.sent_at_s = time.monotonic()
-            except OSError:  # the proxy may have answered before it ended the connection
+                await connection.write(data, slowly=slowly)
                 request.sent_at_s = time.monotonic()
+            except OSError:
+                pass  # the proxy may have answered before it ended the connection
             request.end = RequestEnd.SILENT
             async with asyncio.timeout(request.deadline_s + WAIT_BEYOND_DEADLINE_S):
                 request.status, body, keeps_open = await connection.read_response()
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -37,15 +37,17 @@
 class EndpointConnection(asyncio.Protocol):
     """Connection of an endpoint, which answers one request after the other."""
 
-    def __init__(self, work_s: float, executions: list[Execution]) -> None:
+    def __init__(self, work_s: float, executions: list[Execution], relays: Relays) -> None:
         """Initialize a connection.
 
         Args:
             work_s: The time from a request's last byte to its response.
             executions: Receives a record of each complete request.
+            relays: The relays of the fault proxies.
         """
         self._work_s = work_s
         self._executions = executions
+        self._relays = relays
         self._received = bytearray()
         self._began_at_s: float | None = None
         self._transport: asyncio.Transport
@@ -73,9 +75,10 @@
         return end + len(HEAD_END) + int(length or 0)
 
     def _run(self, request_id: str) -> None:
-        began_at_s = self._began_at_s or time.monotonic()
+        relay = self._relays.get(self._transport.get_extra_info("peername"))
+        began_at_s = self._began_at_s if relay is None else relay.request_began_at_s
         self._began_at_s = None
-        self._executions.append(Execution(request_id, began_at_s, time.monotonic()))
+        self._executions.append(Execution(request_id, began_at_s or time.monotonic(), time.monotonic()))
         asyncio.get_running_loop().call_later(self._work_s, self._respond, response_body(request_id))
 
     def _respond(self, body: bytes) -> None:
@@ -98,6 +101,9 @@
     transport.abort()
 
 
+Relays = dict[tuple[str, int], "Relay"]
+
+
 class _Side(Enum):
     """The end of a relayed connection that a half of the relay talks to."""
 
@@ -108,13 +114,16 @@
 class Relay:
     """One relayed connection, with its fault."""
 
-    def __init__(self, fault: ConnectionFault, delay_s: float) -> None:
+    def __init__(self, fault: ConnectionFault, delay_s: float, relays: Relays) -> None:
         """Initialize an unconnected relay.
 
         Args:
             fault: The fault of the connection.
             delay_s: The time after which a late connection is relayed.
+            relays: Receives this relay, by its address at the endpoint.
         """
+        self._relays = relays
+        self.request_began_at_s: float | None = None
         self._fault = fault
         self._delay_s = delay_s
         self._to_endpoint: asyncio.Transport | None = None
@@ -135,13 +144,17 @@
         except OSError:
             to_proxy.abort()
             return
+        if to_proxy.is_closing():  # the proxy has taken its request back
+            transport.abort()
+            return
         self._to_endpoint = transport
+        self._relays[transport.get_extra_info("sockname")] = self
         transport.write(bytes(self._waiting))
-        if to_proxy.is_closing():
-            transport.abort()
 
     def relay_request(self, data: bytes) -> None:
         """Pass on bytes of the proxy."""
+        if self.request_began_at_s is None:
+            self.request_began_at_s = time.monotonic()
         if self._to_endpoint is None:
             self._waiting += data
         else:
@@ -152,6 +165,7 @@
         to_proxy = self._to_proxy
         if to_proxy is None or to_proxy.is_closing():
             return
+        self.request_began_at_s = None  # the next request begins after this response
         is_first = self._response_bytes == 0
         self._response_bytes += len(data)
         match self._fault:
@@ -192,6 +206,8 @@
         other = self._to_endpoint if side is _Side.PROXY else self._to_proxy
         if other is not None:
             other.close()
+        if self._to_endpoint is not None:
+            self._relays.pop(self._to_endpoint.get_extra_info("sockname"), None)
 
 
 class _Half(asyncio.Protocol):
@@ -242,6 +258,7 @@
     executions: list[Execution] = field(default_factory=list)
     _servers: list[asyncio.Server] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _relays: Relays = field(default_factory=dict)
 
     async def start(self) -> list[str]:
         """Start the endpoints, and return the addresses of their fault proxies.
@@ -256,7 +273,7 @@
         loop = asyncio.get_running_loop()
         endpoint_host, proxy_host = f"{self.network}.2.{number}", f"{self.network}.3.{number}"
         endpoint = await loop.create_server(
-            lambda: EndpointConnection(self.plan.work_s, self.executions), endpoint_host, 9000
+            lambda: EndpointConnection(self.plan.work_s, self.executions, self._relays), endpoint_host, 9000
         )
         fault_proxy = await loop.create_server(
             lambda: _AcceptedHalf(self._new_relay(), self._tasks, endpoint_host, 9000), proxy_host, 9000
@@ -268,9 +285,9 @@
         draw = self._rng.random()
         for fault, share in self.plan.fault_shares.items():
             if draw < share:
-                return Relay(fault, self._rng.uniform(*LATE_S))
+                return Relay(fault, self._rng.uniform(*LATE_S), self._relays)
             draw -= share
-        return Relay(ConnectionFault.NONE, 0.0)
+        return Relay(ConnectionFault.NONE, 0.0, self._relays)
 
     def stop(self) -> None:
         """Stop listening."""
--- a/benchmarks/soak/peers.py
+++ b/benchmarks/soak/peers.py
@@ -21,6 +21,8 @@
 FLOOD_LIMIT_S = 6.0
 STAY_S = 7.0
 PAUSE_S = 0.1
+# Without a pause, peers that are turned away would overflow the system's queue of connections.
+RETURN_AFTER_S = 0.5
 SMALL_RECEIVE_BUFFER_BYTES = 4_096
 
 Play = Callable[["Peer"], Awaitable[None]]
@@ -177,6 +179,7 @@
             await playing
         if kind not in NOTHING_OWED:
             report.stays.append(stay)
+        await asyncio.sleep(RETURN_AFTER_S)
 
 
 async def _connect(
--- a/load_balancer/net/client/client_listener.py
+++ b/load_balancer/net/client/client_listener.py
@@ -20,6 +20,7 @@
 from load_balancer.net.client.client_registry import ClientRegistry
 from load_balancer.net.client.connection_acceptor import ConnectionAcceptor
 from load_balancer.net.client.connection_time_limits import ConnectionTimeLimits
+from load_balancer.net.client.http_response import SERVICE_UNAVAILABLE
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
 from load_balancer.net.event_counters import EventKind
 from load_balancer.net.receive_scheduler import ReceiveScheduler
@@ -117,6 +118,12 @@
             if self.time_limits.can_be_closed(connection, now_s):
                 connection.transport.close()
 
+    def refuse_incomplete_requests(self) -> None:
+        """Respond to incomplete requests with 503. Otherwise the shutdown would wait for the rest of them."""
+        for connection in list(self.clients.open_connections):
+            if connection.has_pending_request and not connection.is_waiting_for_response:
+                connection.reject(SERVICE_UNAVAILABLE)
+
     @property
     def is_drained(self) -> bool:
         """Whether all open connections have finished, and none waits to be accepted or registered."""
--- a/load_balancer/process/graceful_shutdown.py
+++ b/load_balancer/process/graceful_shutdown.py
@@ -102,8 +102,9 @@
         await self._close_connections(until_s=self._drain_deadline_s)
 
     async def fail_remaining(self) -> None:
-        """Give each open request its final response, and wait until the responses are written."""
+        """Give each open or incomplete request its final response, and wait until these are written."""
         self._driver.end_all_requests()
+        self._listener.refuse_incomplete_requests()
         # Counted from the deadline, not from now: a late event loop must not make the exit late as well.
         until_s = self._drain_deadline_s + FLUSH_TIMEOUT_S
         await self._close_connections(until_s=max(until_s, self._loop.time() + MIN_FLUSH_TIMEOUT_S))
