Go on admitting requests when a waiting one is ended for another reason

A request that waited for memory was refused at the shutdown, or its connection evicted, and stayed in the queue; admitting it raised, and the check was not scheduled again, so that the others waited until the next one came. Waiting requests whose connection waits no longer are now dropped first. The test fails without it.

--- a/load_balancer/net/client/request_memory.py
+++ b/load_balancer/net/client/request_memory.py
@@ -38,6 +38,10 @@
     def is_receiving_request(self) -> bool:
         """Whether a request has been received in part and is neither complete nor waiting for memory."""
 
+    @property
+    def is_waiting_for_memory(self) -> bool:
+        """Whether the request still waits. Its connection may be closing for another reason."""
+
     @property
     def has_request_arrived(self) -> bool:
         """Whether all bytes of the request that waits for memory have arrived, as far as is known."""
@@ -212,6 +216,8 @@
     def _check(self) -> None:
         """Admit, end or refuse requests as `memory_admission` decides, and look again soon if any wait."""
         self._timer = None
+        for state in [state for state in self._waiting if not self._holders[state].is_waiting_for_memory]:
+            self.release(state)
         states = {id(state): state for state in self._holders}
         free_bytes = self.budget.free_request_bytes - self._spared_bytes
         decision = decide(free_bytes, self._waiting_requests(), self._incomplete_requests())
@@ -277,6 +283,11 @@
         return len(states[:max_count])
 
 
-def request_cost_bytes(body_bytes: int) -> int:
-    """Return the memory that a request with a body of this size takes until its final response."""
-    return limits.OPEN_REQUEST_BYTES + round(body_bytes * limits.BODY_COST)
+def request_cost_bytes(body_bytes: int, head_bytes: int = 0) -> int:
+    """Return the memory that a request takes until its final response.
+
+    Args:
+        body_bytes: The size of its body.
+        head_bytes: The size of what is kept of its head.
+    """
+    return limits.OPEN_REQUEST_BYTES + head_bytes + round(body_bytes * limits.BODY_COST)
--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -159,6 +159,11 @@
         is_receiving = connection.state is ConnectionState.READING and not connection.is_idle
         return is_receiving and not (connection.is_processing_scheduled or self._transport.is_closing())
 
+    @property
+    def is_waiting_for_memory(self) -> bool:
+        """Whether the request that is being received waits for memory, and the connection is not closing."""
+        return self._connection.is_waiting_for_memory and not self._transport.is_closing()
+
     @property
     def has_request_arrived(self) -> bool:
         """Whether all bytes of the request that waits for memory have arrived.
@@ -208,10 +213,11 @@
     def _reserve_for_request(self) -> bool:
         """Reserve memory for the request whose head has just been parsed; return whether it has it."""
         head = self._incoming.head
-        max_wait_s = limits.HEAD_MEMORY_WAIT_S
-        if head is not None:
-            max_wait_s = min(limits.MEMORY_WAIT_SHARE * head.time_remaining_s, limits.MAX_MEMORY_WAIT_S)
-        return self._reserve(request_cost_bytes(self._incoming.max_body_bytes), max_wait_s)
+        body_bytes = self._incoming.max_body_bytes
+        if head is None:  # a readiness check
+            return self._reserve(request_cost_bytes(body_bytes), limits.HEAD_MEMORY_WAIT_S)
+        max_wait_s = min(limits.MEMORY_WAIT_SHARE * head.time_remaining_s, limits.MAX_MEMORY_WAIT_S)
+        return self._reserve(request_cost_bytes(body_bytes, head.size_bytes), max_wait_s)
 
     def _reserve(self, needed_bytes: int, max_wait_s: float) -> bool:
         if self._memory.reserve(self._memory_state, needed_bytes, max_wait_s):
--- a/tests/net/client/test_request_memory.py
+++ b/tests/net/client/test_request_memory.py
@@ -12,6 +12,7 @@
 
 from load_balancer.net.client import client_limits
 from load_balancer.net.client.client_connection import ClientConnection
+from load_balancer.net.client.http_response import SERVICE_UNAVAILABLE
 from load_balancer.net.client.request_memory import request_cost_bytes
 from load_balancer.net.event_counters import EventKind
 from load_balancer.net.memory_admission import STALLED_AFTER_S
@@ -131,6 +132,27 @@
             writer.close()
 
 
+async def test_waiting_request_that_is_ended_for_another_reason_does_not_hold_up_the_others() -> None:
+    async with (
+        SilentEndpoint() as endpoint,
+        running_proxy(endpoint_entry("s", endpoint.port), memory=TWO_REQUESTS) as proxy,
+    ):
+        held = await send_requests(proxy, large_request("h1"), large_request("h2"))
+        await wait_until(lambda: len(endpoint.received) == 2)
+        ended = await send_requests(proxy, large_request("e1"))
+        await wait_until(lambda: proxy.clients.memory.waiting_count == 1)
+        [waiting] = [c for c in proxy.clients.open_connections if c.is_waiting_for_memory]
+        others = await send_requests(proxy, large_request("o1"))
+        await wait_until(lambda: proxy.clients.memory.waiting_count == 2)
+        waiting.reject(SERVICE_UNAVAILABLE)
+        for _, writer in held:
+            writer.close()
+        await wait_until(lambda: "o1" in endpoint.request_ids)
+        assert await read_statuses(ended) == [503]
+        for _, writer in (*ended, *others):
+            writer.close()
+
+
 @pytest.mark.parametrize("how", ["FIN", "RST"])
 async def test_request_is_not_forwarded_if_its_client_leaves_while_it_waits_for_memory(how: str) -> None:
     async with (
