Charge what is kept of a head, and let a sent attempt keep no content

Found by going through what a peer can make the process keep. A target, host or content type of up to 16 KB is held until the response, and was charged as nothing: 388 connections could hold 6 MB. And an attempt that outlives its request, as its client has left and the settings do not allow a cancel, held the body, which was no longer charged, until it timed out. The test of the latter fails without the change; the former is covered by the cost of the request alone, by reading.

--- a/load_balancer/net/client/http_request.py
+++ b/load_balancer/net/client/http_request.py
@@ -73,6 +73,12 @@
     headers: Headers
     max_body_bytes: int
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the parts of the head that are kept until the response, in bytes."""
+        kept = (self.request_id, self.target, self.tenant or "")
+        return sum(map(len, kept)) + sum(len(name) + len(value) for name, value in self.headers)
+
 
 def check_framing(request: h11.Request) -> dict[bytes, bytes]:
     """Check the request line and that the length of the body is unambiguous and within the limit.
--- a/load_balancer/net/upstream/upstream_attempt.py
+++ b/load_balancer/net/upstream/upstream_attempt.py
@@ -128,6 +128,8 @@
         self._stop_waiting()
         self.connection, self._assigned_at_s = connection, self._loop.time()
         failure = connection.send(self, self.request)
+        # The attempt may outlive its request, whose client may have left.
+        self.request = self.request.without_content()
         if failure is not None:
             self.finish(failure)
         return True
--- a/load_balancer/net/upstream/upstream_messages.py
+++ b/load_balancer/net/upstream/upstream_messages.py
@@ -42,6 +42,10 @@
     adds_deadline_header: bool = field(default=True, kw_only=True)
     is_client_waiting: Callable[[], bool] = field(default=lambda: True, kw_only=True)
 
+    def without_content(self) -> UpstreamRequest:
+        """Return what an attempt keeps of the request once it has been written."""
+        return UpstreamRequest(self.method, b"", [], b"", is_idempotent=self.is_idempotent)
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamResponse:
--- a/tests/net/upstream/test_response_memory.py
+++ b/tests/net/upstream/test_response_memory.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
+from load_balancer import messages
+from load_balancer.net.driver.client_messages import ClientRequest
 from load_balancer.net.event_counters import EventKind
 from load_balancer.net.memory_budget import MemoryLimits, MemoryOwner
 from load_balancer.net.upstream.http_exchange import HttpExchange
 from tests.support.attempts import SAFE_REQUEST
+from tests.support.balancer_harness import balancer_settings
 from tests.support.endpoint_lists import endpoint_entry
 from tests.support.http_messages import http_request, http_response, read_http_message
 from tests.support.loopback_proxy import running_proxy
@@ -84,3 +88,20 @@
         assert proxy.shared.counters.counts[EventKind.CLIENT_CLOSED_FOR_MEMORY] == 1
         assert not proxy.shared.budget.charged_bytes[MemoryOwner.UNSENT_RESPONSES]
         writer.close()
+
+
+async def test_attempt_that_outlives_its_request_keeps_no_content_of_it() -> None:
+    settings = balancer_settings(limits=messages.Limits(max_attempts=1, cancel=False))
+    async with (
+        SilentEndpoint() as endpoint,
+        running_proxy(endpoint_entry("s", endpoint.port), settings=settings) as proxy,
+    ):
+        _, writer = await proxy.connect()
+        writer.write(http_request("pay", body=BODY))
+        await wait_until(lambda: len(endpoint.received) == 1)
+        writer.transport.abort()
+        await wait_until(lambda: not proxy.clients.open_connections)
+        [attempt] = proxy.driver.requests.attempts.in_flight.values()
+        assert (attempt.request.body, attempt.request.headers) == (b"", [])
+        gc.collect()
+        assert not [kept for kept in gc.get_objects() if isinstance(kept, ClientRequest)]
