Read connections that send tiny pieces ten times a second while there are many

A read costs about as much as a usual request. Above 300 small reads of incomplete requests in 0.1 s, such a connection is not read again before the next tenth of a second, and its pieces arrive together. A usual request is complete after one read and is never paused.

--- a/load_balancer/net/client/client_registry.py
+++ b/load_balancer/net/client/client_registry.py
@@ -13,6 +13,7 @@
 from load_balancer.net.client import client_limits as limits
 from load_balancer.net.client.disconnect_poller import DisconnectPoller, PolledConnection
 from load_balancer.net.client.http_response import SERVICE_UNAVAILABLE
+from load_balancer.net.client.read_pacer import ReadPacer
 from load_balancer.net.client.receive_buffer import BufferedTotal
 from load_balancer.net.client.request_memory import RequestMemory
 from load_balancer.net.driver.client_messages import ClientResponse
@@ -53,6 +54,7 @@
     Attributes:
         counters: Counts why connections and requests are ended.
         memory: The memory that the requests of all connections hold.
+        read_pacer: Limits how often connections that send tiny pieces are read.
         max_connections: The limit on open connections; requests on connections above the limit get a 503.
         open_connections: All open connections.
         unused_connections: Evictable connections that have not sent a complete request yet or are lingering,
@@ -87,6 +89,7 @@
         shared = shared or SharedResources()
         self.counters = shared.counters
         self.memory = RequestMemory(shared.budget, shared.counters)
+        self.read_pacer = ReadPacer()
         self._max_descriptors = max(max_descriptors or 0, max_connections) + limits.MAX_CONNECTIONS_OVER_LIMIT
         self.max_connections = max_connections
         self.open_connections: set[ConnectionT] = set()
@@ -191,5 +194,6 @@
         """Close all connections immediately; incomplete requests get a 503."""
         self.disconnect_poller.close()
         self.memory.close()
+        self.read_pacer.close()
         for connection in list(self.open_connections):
             connection.abort(SERVICE_UNAVAILABLE)
--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -22,6 +22,7 @@
 from load_balancer.net.client.http_response import INTERNAL_SERVER_ERROR
 from load_balancer.net.client.http_server_protocol import ParsedEvent
 from load_balancer.net.client.incoming_request import IncomingRequest
+from load_balancer.net.client.read_pacer import SMALL_PIECE_BYTES
 from load_balancer.net.client.request_forwarder import RequestForwarder
 from load_balancer.net.client.request_memory import request_cost_bytes
 from load_balancer.net.driver.client_messages import ClientResponse
@@ -91,6 +92,22 @@
         if self.receive_state.is_queued:  # further bytes may be received before the next step
             self._pause_or_resume_reading()
             self._update_memory()
+        if len(data) < SMALL_PIECE_BYTES and self._is_request_incomplete:
+            self._clients.read_pacer.count_small_read(self)
+            self._pause_or_resume_reading()
+
+    @property
+    def _is_request_incomplete(self) -> bool:
+        """Whether the latest bytes belong to a request that is not complete, or that waits to be parsed."""
+        if self._connection.is_lingering or self._transport.is_closing():
+            return False
+        is_receiving = self._connection.state is ConnectionState.READING and not self._connection.is_idle
+        return is_receiving or bool(self._http.received)
+
+    def resume_after_pause(self) -> None:
+        """Read the connection again after it was paused for sending tiny pieces."""
+        if not (self._transport.is_closing() or self._connection.is_lingering):
+            self._pause_or_resume_reading()
 
     def resume(self) -> None:
         """Continue after the previous response has been written out."""
@@ -144,6 +161,7 @@
         """Cancel the open request and release all memory after the connection is lost."""
         self._forwarder.cancel_open_request()
         self._memory.remove(self._memory_state)
+        self._clients.read_pacer.remove(self)
 
     # Memory
 
@@ -266,7 +284,8 @@
 
     def _pause_or_resume_reading(self) -> None:
         connection = self._connection
-        if connection.is_waiting_for_memory or self._http.received.is_over_limit:
+        is_stopped = connection.is_waiting_for_memory or self._clients.read_pacer.is_paused(self)
+        if is_stopped or self._http.received.is_over_limit:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
