--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -172,7 +172,7 @@
     size = rng.randint(*CROWD_SIZE) if has_crowd else rng.randint(*FEW_SIZE)
     # Sorted, as the order of a set of strings differs from one process to the next.
     return tuple(
-        _draw_crowd(rng, kind, seconds, sockets, max_count=size // max(1, len(chosen) - 1))
+        _draw_crowd(rng, kind, seconds, sockets, max_count=max(1, size // max(1, len(chosen) - 1)))
         for kind in sorted(chosen)
     )
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -6,11 +6,12 @@
 import json
 import os
 import random
+import socket
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -25,11 +26,17 @@
 SECOND_US = 1_000_000
 READY_TIMEOUT_S = 30.0
 LAG_INTERVAL_S = 0.02
+FIRST_NETWORK, NETWORK_COUNT = 101, 150  # second octets of the runs' addresses
+CLAIM_PORT = 9001
 PEER_STOP_TIMEOUT_S = 30.0
 SHUTDOWN_S = 4.0  # clients go on through the shutdown, up to SIGKILL
 IDEMPOTENCY = {"read": "safe", "order": "keyed", "pay": "unsafe"}
 
 
+class NoFreeNetworkError(Exception):
+    """All loopback networks are in use by other runs."""
+
+
 class NeverReadyError(Exception):
     """The first proxy process of a run did not listen in time."""
 
@@ -60,9 +67,23 @@
     }
 
 
-def network_of(seed: int) -> str:
-    """Return the first two octets of a run's addresses, so that runs beside each other do not meet."""
-    return f"127.{101 + seed % 97}"
+@contextmanager
+def claimed_network(seed: int) -> Iterator[str]:
+    """Yield the first two octets of addresses that no other run uses, as long as the context is open.
+
+    Raises:
+        NoFreeNetworkError: All are in use.
+    """
+    for offset in range(NETWORK_COUNT):
+        network = f"127.{FIRST_NETWORK + (seed + offset) % NETWORK_COUNT}"
+        with socket.socket() as claim:
+            try:
+                claim.bind((f"{network}.9.9", CLAIM_PORT))
+            except OSError:
+                continue
+            yield network
+            return
+    raise NoFreeNetworkError
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,18 +140,19 @@
 class Run:
     """One run of the soak test."""
 
-    def __init__(self, plan: Plan, folder: Path) -> None:
+    def __init__(self, plan: Plan, folder: Path, network: str) -> None:
         """Initialize a run without starting anything.
 
         Args:
             plan: The plan.
             folder: The folder for the proxy's configuration and log.
+            network: The first two octets of all addresses.
         """
         self._plan = plan
         self._folder = folder
-        self._network = network_of(plan.seed)
+        self._network = network
         self._record = RunRecord()
-        self._endpoints = Endpoints(plan, self._network)
+        self._endpoints = Endpoints(plan, network)
         self._discovery = Discovery()
 
     async def play(self) -> RunRecord:
@@ -232,8 +254,8 @@
         plan: The plan.
         keep_logs: The folder that the proxy's log is moved to; None discards it.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        record = asyncio.run(Run(plan, Path(folder)).play())
+    with tempfile.TemporaryDirectory() as folder, claimed_network(plan.seed) as network:
+        record = asyncio.run(Run(plan, Path(folder), network).play())
         if keep_logs is not None:
             keep_logs.mkdir(parents=True, exist_ok=True)
             (keep_logs / f"{plan.seed}-{os.getpid()}.log").write_text(
--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -83,7 +83,7 @@
         if not self._http.receive(now_s, bytes(data)):
             return
         self._received_at_s = now_s
-        if was_idle:
+        if was_idle or connection.is_waiting_for_response:  # bytes of the next request
             self._request_began_at_s = now_s
         if was_idle and connection.has_responded:
             connection.last_progress_at_s = now_s
--- a/tests/net/client/test_request_memory.py
+++ b/tests/net/client/test_request_memory.py
@@ -272,27 +272,34 @@
 
 async def test_charges_cover_what_connections_and_requests_allocate() -> None:
     """The charges are compared with the memory that Python has allocated for many of each."""
-    count = 50
+    count = 200
     async with (
         SilentEndpoint() as endpoint,
-        running_proxy(endpoint_entry("s", endpoint.port), max_connections=200) as proxy,
+        running_proxy(endpoint_entry("s", endpoint.port), max_connections=2 * count) as proxy,
     ):
+        warm_up = SocketClient(proxy)  # what is allocated once is no connection's
+        warm_up.send(http_request(request_id="w"))
+        await wait_until(lambda: len(proxy.driver.requests) == 1)
         gc.collect()
         tracemalloc.start()
         try:
-            before_bytes = tracemalloc.get_traced_memory()[0]
+            before_bytes = allocated_bytes()
             clients = [SocketClient(proxy) for _ in range(count)]
-            await wait_until(lambda: len(proxy.clients.open_connections) == count)
-            gc.collect()
-            connected_bytes = tracemalloc.get_traced_memory()[0]
+            await wait_until(lambda: len(proxy.clients.open_connections) == count + 1)
+            connected_bytes = allocated_bytes()
             for number, client in enumerate(clients):
                 client.send(http_request(request_id=f"q{number}"))
-            await wait_until(lambda: len(proxy.driver.requests) == count)
-            gc.collect()
-            open_bytes = tracemalloc.get_traced_memory()[0]
+            await wait_until(lambda: len(proxy.driver.requests) == count + 1)
+            open_bytes = allocated_bytes()
         finally:
             tracemalloc.stop()
         assert (connected_bytes - before_bytes) / count <= client_limits.CLIENT_CONNECTION_BYTES
         assert (open_bytes - connected_bytes) / count <= client_limits.OPEN_REQUEST_BYTES
-        for client in clients:
+        for client in (warm_up, *clients):
             client.disconnect("RST")
+
+
+def allocated_bytes() -> int:
+    """Return the memory that Python has allocated since `tracemalloc.start`, after a garbage collection."""
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
