Evict slow requests before the idle connections of regular clients in a flood

At the limit no unused connection was quiet, as bytes of each had just arrived, so that the idle connections of sound clients were evicted, and their next ones were over the limit. Slow requests now go first, from 0.2 s after their first byte on.

The test fails without the change.

--- a/benchmarks/soak/rules.py
+++ b/benchmarks/soak/rules.py
@@ -91,10 +91,21 @@
         yield Violation(
             Rule.LOST,
             f"{request.id} ({request.kind}, {request.deadline_s} s): {request.end} after {took_s:.3f} s, "
-            f"status {request.status}, {len(executions)} executions",
+            f"status {request.status}, {len(executions)} executions; {_place(request, lives)}",
         )
 
 
+def _place(request: SentRequest, lives: list[ProcessLife]) -> str:
+    """Return where the sending of a request lies in the life of its process."""
+    for life in lives:
+        if life.started_at_s <= request.sent_at_s <= life.ended_at_s:
+            place = f"sent {life.ended_at_s - request.sent_at_s:.3f} s before its process {life.end}"
+            if life.terminated_at_s is None:
+                return place
+            return f"{place}, {request.sent_at_s - life.terminated_at_s:.3f} s after SIGTERM"
+    return "sent while no process ran"
+
+
 def _last_use_s(record: RunRecord) -> dict[str, float]:
     """Return the time at which the last client that used an id stopped waiting, by id."""
     last_use_s: dict[str, float] = {}
--- a/load_balancer/net/client/client_limits.py
+++ b/load_balancer/net/client/client_limits.py
@@ -54,7 +54,7 @@
 # A client that sends no complete request gets an error response or a close within this time from its connect.
 INCOMPLETE_REQUEST_DEADLINE_S = 3.0
 # At the limit on connections, one whose request has been incomplete for this long may be evicted.
-SLOW_REQUEST_S = 0.4
+SLOW_REQUEST_S = 0.2
 # Allowance for event loop lag, once for accepting a connection and once for checking it.
 MAX_EVENT_LOOP_DELAY_S = 0.15
 KEEP_ALIVE_TIMEOUT_S = 20.0  # time after which an idle connection is closed
--- a/load_balancer/net/client/client_registry.py
+++ b/load_balancer/net/client/client_registry.py
@@ -132,23 +132,12 @@
         return is_over_limit
 
     def _evict_connection(self) -> None:
-        evicted = self._find_quiet_connection() or self._find_slow_connection()
+        evicted = next(self._eviction_candidates(), None)
         if evicted is not None:
             self.counters.count(EventKind.CONNECTION_EVICTED)
             self.remove(evicted)
             evicted.abort(SERVICE_UNAVAILABLE)
 
-    def _find_quiet_connection(self) -> ConnectionT | None:
-        for connection in self._eviction_candidates():
-            if not (connection.has_unprocessed_bytes or connection.is_writing):
-                return connection
-        return None
-
-    def _find_slow_connection(self) -> ConnectionT | None:
-        """Return one of the oldest connections if its request is slow, although bytes of it have arrived."""
-        oldest = islice(self.unused_connections, limits.MAX_SILENT_CANDIDATES)
-        return next((connection for connection in oldest if connection.has_slow_request), None)
-
     def _eviction_candidates(self) -> Iterator[ConnectionT]:
         """Return the connections that may be evicted, in order of eviction.
 
@@ -156,14 +145,16 @@
         are evicted before the idle connections of regular clients. Otherwise idle connections are evicted
         first, so that a new connection has time to send its request.
         """
-        silent = (
-            connection
-            for connection in islice(self.unused_connections, limits.MAX_SILENT_CANDIDATES)
-            if not connection.has_pending_request
-        )
-        unused = chain(silent, self.unused_connections)
+        idle = filter(_is_quiet, self.idle_connections)
         is_flood = 2 * len(self.unused_connections) >= self.max_connections
-        return chain(unused, self.idle_connections) if is_flood else chain(self.idle_connections, unused)
+        return chain(self._unused_candidates(), idle) if is_flood else chain(idle, self._unused_candidates())
+
+    def _unused_candidates(self) -> Iterator[ConnectionT]:
+        """Return unused connections: silent ones, other quiet ones, then those whose request is slow."""
+        oldest = list(islice(self.unused_connections, limits.MAX_SILENT_CANDIDATES))
+        silent = (connection for connection in oldest if not connection.has_pending_request)
+        slow = (connection for connection in oldest if connection.has_slow_request)
+        return chain(filter(_is_quiet, chain(silent, self.unused_connections)), slow)
 
     def remove(self, connection: ConnectionT) -> None:
         """Remove a closed connection; do nothing if it has been removed."""
@@ -197,3 +188,8 @@
         self.read_pacer.close()
         for connection in list(self.open_connections):
             connection.abort(SERVICE_UNAVAILABLE)
+
+
+def _is_quiet(connection: TrackedConnection) -> bool:
+    """Return whether no bytes wait to be read from or written to a connection."""
+    return not (connection.has_unprocessed_bytes or connection.is_writing)
--- a/tests/net/client/test_client_registry.py
+++ b/tests/net/client/test_client_registry.py
@@ -149,3 +149,35 @@
         slow.send(b"a")
         assert response_status(await proxy.send_request(http_request())) == 200
         slow.disconnect("RST")
+
+
+async def test_idle_connections_of_regular_clients_outlast_a_flood_of_slow_requests() -> None:
+    async with (
+        StandInEndpoint(http_response(200, b"x")) as endpoint,
+        running_proxy(endpoint_entry("s-1", endpoint.port), max_connections=4) as proxy,
+    ):
+        regular = SocketClient(proxy)
+        reader, writer = await regular.streams()
+        writer.write(http_request(request_id="r1"))
+        assert response_status(await read_http_message(reader)) == 200
+        slow_clients = [SocketClient(proxy) for _ in range(3)]
+        loop = asyncio.get_running_loop()
+        full_at_s = loop.time() + client_limits.SLOW_REQUEST_S + 0.1
+        while loop.time() < full_at_s:
+            for client in slow_clients:
+                client.send(b"G")
+            await asyncio.sleep(0.005)
+        add = proxy.clients.add
+
+        def send_and_add(connection: ClientConnection) -> bool:
+            for client in slow_clients:
+                client.send(b"G")
+            return add(connection)
+
+        proxy.clients.add = send_and_add  # type: ignore[method-assign]
+        assert response_status(await proxy.send_request(http_request(request_id="n1"))) == 200
+        writer.write(http_request(request_id="r2"))
+        assert response_status(await read_http_message(reader)) == 200
+        writer.close()
+        for client in slow_clients:
+            client.disconnect("RST")
