Make the charges cheap, and keep bodies out of mapped blocks

Each charge hashed its owner in Python, as Enum does; each body of 32 KiB and more was a mapping of its own; the cost of a head was summed twice; the free memory was summed at each read; h11's rest was copied to learn whether there is one. None of this is done now.

--- a/load_balancer/net/client/client_limits.py
+++ b/load_balancer/net/client/client_limits.py
@@ -25,6 +25,7 @@
 
 CLIENT_CONNECTION_BYTES = 6 * 1024  # transport, parser and state of a connection
 OPEN_REQUEST_BYTES = 6 * 1024  # a request from its head to its response: client side, driver, policy, attempt
+UNCHARGED_HEAD_BYTES = 1024  # heads of this size are covered by OPEN_REQUEST_BYTES
 HEAD_RESERVATION_BYTES = MAX_HEAD_BYTES + READ_SIZE_BYTES  # an incomplete head, and the read that exceeds it
 PIECE_BYTES = 160  # a read that waits to be parsed, besides its bytes
 BODY_COST = 1.15  # memory for each byte of a body, which grows in steps while it is received
--- a/load_balancer/net/client/http_server_protocol.py
+++ b/load_balancer/net/client/http_server_protocol.py
@@ -42,12 +42,13 @@
         self.last_parsed_received_at_s = now_s
         self._h11 = _new_h11_connection()
         self._needs_data = True  # whether h11 cannot return an event without further bytes
-        self._parser_bytes = 0  # upper bound of the bytes that h11 holds
+        # Bytes that h11 holds: exact between requests and once one is complete, an upper bound within a body.
+        self._parser_bytes = 0
 
     @property
     def has_unparsed_bytes(self) -> bool:
         """Whether received bytes have not been parsed yet."""
-        return bool(self.received or self._h11.trailing_data[0])
+        return bool(self.received or self._parser_bytes)
 
     @property
     def memory_bytes(self) -> int:
@@ -69,8 +70,8 @@
     def expected_event_s(self) -> float:
         """Expected time to parse the next event in seconds, by the bytes that it may consist of."""
         expected_s = self.received.expected_parsing_s
-        if unparsed := self._h11.trailing_data[0]:
-            expected_s += expected_parsing_s(unparsed)
+        if self._parser_bytes:
+            expected_s += expected_parsing_s(self._h11.trailing_data[0])
         return expected_s
 
     @property
@@ -122,13 +123,15 @@
     def _skip_empty_lines(self) -> None:
         # Empty lines may precede a request, for example after the body of the previous one. h11 rejects them,
         # so the remaining bytes go to a new h11 connection without the empty lines.
-        if self._h11.their_state is not h11.IDLE:
+        if self._h11.their_state is not h11.IDLE or not self._parser_bytes:
             return
         rest = self._h11.trailing_data[0]
         if rest[:1] not in (b"\r", b"\n"):
             return
         self._h11 = _new_h11_connection()
-        if rest := rest.lstrip(LINE_END_BYTES):  # h11 takes empty data for the end of the stream
+        rest = rest.lstrip(LINE_END_BYTES)
+        self._parser_bytes = len(rest)
+        if rest:  # h11 takes empty data for the end of the stream
             self._h11.receive_data(rest)
 
     def interim_response(self) -> bytes:
@@ -158,5 +161,5 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
-        self._needs_data = not self._h11.trailing_data[0]
+        self._needs_data = not self._parser_bytes
         return True
--- a/load_balancer/net/client/receive_buffer.py
+++ b/load_balancer/net/client/receive_buffer.py
@@ -71,11 +71,13 @@
     @property
     def is_over_limit(self) -> bool:
         """Whether to pause reading: this buffer is over its limit, or it is not empty and the total is."""
+        if not self._pieces:
+            return False
         if self.size_bytes > limits.MAX_BUFFERED_BYTES_PER_CONNECTION:
             return True
         if self.memory_bytes > self._total.connection_limit_bytes:
             return True
-        return bool(self) and self._total.size_bytes > self._total.limit_bytes
+        return self._total.size_bytes > self._total.limit_bytes
 
     @property
     def memory_bytes(self) -> int:
--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -219,6 +219,8 @@
             self._forwarder.reject(response)
 
     def _update_memory(self) -> None:
+        if self._memory_state.reserved_bytes and not self._http.received:
+            return  # what the request holds is reserved
         self._memory.update(self._memory_state, self._http.memory_bytes + len(self._incoming.body))
 
     def _limit_incomplete_head(self) -> None:
@@ -235,7 +237,10 @@
         if head is None:  # a readiness check
             return self._reserve(request_cost_bytes(body_bytes), limits.HEAD_MEMORY_WAIT_S)
         max_wait_s = min(limits.MEMORY_WAIT_SHARE * head.time_remaining_s, limits.MAX_MEMORY_WAIT_S)
-        return self._reserve(request_cost_bytes(body_bytes, head.size_bytes), max_wait_s)
+        head_bytes = 0
+        if self._http.memory_bytes > limits.UNCHARGED_HEAD_BYTES:
+            head_bytes = head.size_bytes
+        return self._reserve(request_cost_bytes(body_bytes, head_bytes), max_wait_s)
 
     def _reserve(self, needed_bytes: int, max_wait_s: float) -> bool:
         if self._memory.reserve(self._memory_state, needed_bytes, max_wait_s):
--- a/load_balancer/net/memory_budget.py
+++ b/load_balancer/net/memory_budget.py
@@ -27,9 +27,7 @@
     RESPONSES = "responses"
     """Received bytes of incomplete responses."""
 
-
-REQUEST_OWNERS = (MemoryOwner.REQUESTS, MemoryOwner.UNSENT_REQUESTS)
-RESPONSE_OWNERS = (MemoryOwner.RESPONSES, MemoryOwner.UNSENT_RESPONSES)
+    __hash__ = object.__hash__  # that of Enum is a Python function, and each charge looks up its owner
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +51,10 @@
     """Sum of the charges of all owners.
 
     Attributes:
-        limits: The limits. They may be replaced; charges that exceed the new ones stay.
         charged_bytes: The current charge of each owner.
         peak_bytes: The highest charge of each owner so far.
+        free_request_bytes: Bytes that may still be charged for requests; negative above the limit.
+        free_response_bytes: Bytes that may still be charged for responses; negative above the limit.
     """
 
     def __init__(self, limits: MemoryLimits = DEFAULT_LIMITS) -> None:
@@ -64,33 +63,33 @@
         Args:
             limits: The limits.
         """
-        self.limits = limits
+        self._limits = limits
         self.charged_bytes = dict.fromkeys(MemoryOwner, 0)
         self.peak_bytes = dict.fromkeys(MemoryOwner, 0)
+        # Kept up to date by each change, as they are read at each read from a connection.
+        self.free_request_bytes = limits.requests_bytes
+        self.free_response_bytes = limits.responses_bytes
 
     @property
-    def free_request_bytes(self) -> int:
-        """Number of bytes that may still be charged for requests; negative if the limit is exceeded."""
-        charged = self.charged_bytes
-        return (
-            self.limits.requests_bytes - charged[MemoryOwner.REQUESTS] - charged[MemoryOwner.UNSENT_REQUESTS]
-        )
+    def limits(self) -> MemoryLimits:
+        """The limits. They may be replaced; charges that exceed the new ones stay."""
+        return self._limits
 
-    @property
-    def free_response_bytes(self) -> int:
-        """Number of bytes that may still be charged for responses; negative if the limit is exceeded."""
-        charged = self.charged_bytes
-        return (
-            self.limits.responses_bytes
-            - charged[MemoryOwner.RESPONSES]
-            - charged[MemoryOwner.UNSENT_RESPONSES]
-        )
+    @limits.setter
+    def limits(self, limits: MemoryLimits) -> None:
+        self.free_request_bytes += limits.requests_bytes - self._limits.requests_bytes
+        self.free_response_bytes += limits.responses_bytes - self._limits.responses_bytes
+        self._limits = limits
 
     def change(self, owner: MemoryOwner, change_bytes: int) -> None:
         """Add to the charge of an owner; a negative change releases memory."""
         charged = self.charged_bytes[owner] = self.charged_bytes[owner] + change_bytes
         if charged > self.peak_bytes[owner]:
             self.peak_bytes[owner] = charged
+        if owner is MemoryOwner.REQUESTS or owner is MemoryOwner.UNSENT_REQUESTS:
+            self.free_request_bytes -= change_bytes
+        elif owner is MemoryOwner.RESPONSES or owner is MemoryOwner.UNSENT_RESPONSES:
+            self.free_response_bytes -= change_bytes
 
     def describe(self) -> str:
         """Return the current and the highest charge of each owner, in KiB, for the log."""
--- a/load_balancer/net/upstream/upstream_attempt.py
+++ b/load_balancer/net/upstream/upstream_attempt.py
@@ -13,7 +13,13 @@
 from load_balancer.net.upstream.connection_wait import ConnectionWait
 from load_balancer.net.upstream.pool_components import PoolComponents
 from load_balancer.net.upstream.upstream_connection import UpstreamConnection
-from load_balancer.net.upstream.upstream_messages import OnOutcome, UpstreamRequest, UpstreamResponse
+from load_balancer.net.upstream.upstream_messages import (
+    WRITTEN_IDEMPOTENT_REQUEST,
+    WRITTEN_UNSAFE_REQUEST,
+    OnOutcome,
+    UpstreamRequest,
+    UpstreamResponse,
+)
 
 LONG_IDLE_S = 1.0  # idle time below which a broken connection is unlikely to be a stale one
 
@@ -128,8 +134,8 @@
         self._stop_waiting()
         self.connection, self._assigned_at_s = connection, self._loop.time()
         failure = connection.send(self, self.request)
-        # The attempt may outlive its request, whose client may have left.
-        self.request = self.request.without_content()
+        is_idempotent = self.request.is_idempotent
+        self.request = WRITTEN_IDEMPOTENT_REQUEST if is_idempotent else WRITTEN_UNSAFE_REQUEST
         if failure is not None:
             self.finish(failure)
         return True
--- a/load_balancer/net/upstream/upstream_messages.py
+++ b/load_balancer/net/upstream/upstream_messages.py
@@ -42,9 +42,11 @@
     adds_deadline_header: bool = field(default=True, kw_only=True)
     is_client_waiting: Callable[[], bool] = field(default=lambda: True, kw_only=True)
 
-    def without_content(self) -> UpstreamRequest:
-        """Return what an attempt keeps of the request once it has been written."""
-        return UpstreamRequest(self.method, b"", [], b"", is_idempotent=self.is_idempotent)
+
+# What attempts keep of their requests once these are written: the rest takes memory, and an attempt may
+# outlive its request.
+WRITTEN_IDEMPOTENT_REQUEST = UpstreamRequest(b"", b"", [], b"", is_idempotent=True)
+WRITTEN_UNSAFE_REQUEST = UpstreamRequest(b"", b"", [], b"", is_idempotent=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/load_balancer/process/allocator.py
+++ b/load_balancer/process/allocator.py
@@ -10,8 +10,9 @@
 
 M_TRIM_THRESHOLD = -1
 M_MMAP_THRESHOLD = -3
-# Larger blocks, such as bodies, are mapped one by one and unmapped when they are freed.
-MMAP_THRESHOLD_BYTES = 32 * 1024
+# Larger blocks are mapped one by one and unmapped when they are freed; the default grows with the blocks that
+# are freed. Bodies, of 64 KiB at most, stay below: a mapping costs as much as a small request.
+MMAP_THRESHOLD_BYTES = 128 * 1024
 TRIM_THRESHOLD_BYTES = 128 * 1024
 
 
