Settle the reservation of a request only where its size was not known before

A usual call computed its cost a second time when it was complete, which matters for chunked bodies alone.

--- a/load_balancer/net/client/request_forwarder.py
+++ b/load_balancer/net/client/request_forwarder.py
@@ -106,9 +106,9 @@
         client_request = self._to_client_request(head, on_next_request)
         if not connection.is_client_connected():
             return
-        self._clients.memory.settle(
-            self._memory_state, request_cost_bytes(len(client_request.body), head.size_bytes)
-        )
+        if len(client_request.body) < head.max_body_bytes:  # the size of a chunked body is known only now
+            cost_bytes = request_cost_bytes(len(client_request.body), head.size_bytes)
+            self._clients.memory.settle(self._memory_state, cost_bytes)
         self._clients.open_request_ids.add(head.request_id)
         connection.transition_to(ConnectionState.WAITING_FOR_RESPONSE)
         request_id = self._driver.accept_request(client_request)
--- a/load_balancer/net/client/request_processor.py
+++ b/load_balancer/net/client/request_processor.py
@@ -289,13 +289,14 @@
 
     def _pause_or_resume_reading(self) -> None:
         connection = self._connection
-        is_stopped = connection.is_waiting_for_memory or self._clients.read_pacer.is_paused(self)
-        if is_stopped or self._http.received.is_over_limit:
-            self._transport.pause_reading()
-        else:
+        is_waiting = connection.state is ConnectionState.WAITING_FOR_MEMORY
+        is_paced = self._clients.read_pacer.is_paused(self)
+        if not (is_waiting or is_paced or self._http.received.is_over_limit):
             self._transport.resume_reading()
-        has_request = connection.is_waiting_for_response or connection.is_waiting_for_memory
-        if has_request and not self._transport.is_reading():
+            self._clients.disconnect_poller.stop_polling(connection)
+            return
+        self._transport.pause_reading()
+        if is_waiting or connection.is_waiting_for_response:
             self._clients.disconnect_poller.start_polling(connection)
         else:
             self._clients.disconnect_poller.stop_polling(connection)
