Accept at most a fifth of the connection limit at once

With 128 descriptors 57 are allowed, so that two batches filled them with connections that had not been read; none could be evicted, and the client's own one was over the limit. A batch is a fifth of the limit now, 32 at most.

--- a/load_balancer/net/client/client_limits.py
+++ b/load_balancer/net/client/client_limits.py
@@ -40,6 +40,7 @@
 MAX_EVENTS_PER_ITERATION = 100
 ACCEPT_BACKLOG = 512  # length of the listen queue
 MAX_ACCEPTS_PER_ITERATION = 32  # accepted before open connections are read again
+MAX_ACCEPTED_SHARE = 0.2  # the same, as a share of the limit on connections
 # Connections above the connection limit whose requests get a 503. Further ones are closed without a response.
 MAX_CONNECTIONS_OVER_LIMIT = 8
 # Number of the oldest unused connections that an eviction searches for one that has sent nothing. Searching
--- a/load_balancer/net/client/connection_acceptor.py
+++ b/load_balancer/net/client/connection_acceptor.py
@@ -100,7 +100,7 @@
             return
         self._state = AcceptorState.STOPPING
         # Accepting the whole queue in one iteration of the event loop would make the shutdown late.
-        batch_size = min(limits.MAX_ACCEPTS_PER_ITERATION, self._clients.free_descriptor_count)
+        batch_size = min(self._batch_size, self._clients.free_descriptor_count)
         if self._accept_up_to(batch_size):
             self.close()
         else:
@@ -128,7 +128,17 @@
         # Registering an accepted connection takes several iterations of the event loop, and so does closing
         # the connection that is evicted for it. Without a bound, a flood of connections would use up all
         # descriptors of the process in the meantime.
-        self._accept_up_to(min(limits.MAX_ACCEPTS_PER_ITERATION, max(1, self._clients.free_descriptor_count)))
+        self._accept_up_to(min(self._batch_size, max(1, self._clients.free_descriptor_count)))
+
+    @property
+    def _batch_size(self) -> int:
+        """Number of connections to accept at once.
+
+        Connections that have not been read yet are not evicted. If all of them were new, the next one would
+        exceed the limit.
+        """
+        share = int(limits.MAX_ACCEPTED_SHARE * self._clients.max_connections)
+        return max(1, min(limits.MAX_ACCEPTS_PER_ITERATION, share))
 
     def _accept_up_to(self, count: int) -> bool:
         """Accept up to `count` connections, and return whether the listen queue is empty.
