Count retries, rejections and failures, which were declared and never counted

The driver counts them in the counters of its pool; a usual call does one comparison more. The test fails with the count of retries taken out.

--- a/load_balancer/net/driver/action_performer.py
+++ b/load_balancer/net/driver/action_performer.py
@@ -11,6 +11,7 @@
 from load_balancer.net.driver.health_check_sender import HealthCheckSender
 from load_balancer.net.driver.open_requests import OpenRequests
 from load_balancer.net.driver.policy_timers import PolicyTimers
+from load_balancer.net.event_counters import EventKind
 from load_balancer.net.upstream.connection_pool import ConnectionPool
 
 log = logging.getLogger(__name__)
@@ -28,7 +29,7 @@
         health_checks: HealthCheckSender,
         pool: ConnectionPool,
     ) -> None:
-        """Create a performer that uses the given parts.
+        """Create a performer that uses the given parts. It counts final responses in the pool's counters.
 
         Args:
             requests: Sends final responses.
@@ -44,6 +45,7 @@
         self._endpoint_list = endpoint_list
         self._health_checks = health_checks
         self._pool = pool
+        self._counters = pool.memory.shared.counters
 
     def perform_all(self, actions: list[messages.Action], decided_at_s: float) -> None:
         """Carry out the actions of one decision, in order.
@@ -87,8 +89,10 @@
 
     def _end_request(self, action: messages.Reject | messages.Fail) -> None:
         if isinstance(action, messages.Fail):
+            self._counters.count(EventKind.POLICY_FAILED)
             self._requests.respond(action.request_id, BAD_GATEWAY)
             return
+        self._counters.count(EventKind.POLICY_REJECTED)
         after_us = action.retry_after_us
         headers = ((b"retry-after", b"%.3f" % (after_us / 1e6)),) if after_us > 0 else ()
         self._requests.respond(action.request_id, ClientResponse(503, headers=headers))
--- a/load_balancer/net/driver/attempt_dispatcher.py
+++ b/load_balancer/net/driver/attempt_dispatcher.py
@@ -20,6 +20,7 @@
 from load_balancer.net.driver.endpoint_directory import EndpointDirectory
 from load_balancer.net.driver.event_queue import EventQueue
 from load_balancer.net.driver.open_requests import OpenRequest, OpenRequests
+from load_balancer.net.event_counters import EventKind
 from load_balancer.net.upstream.connection_pool import ConnectionPool
 from load_balancer.net.upstream.upstream_messages import UpstreamRequest, UpstreamResponse
 
@@ -100,6 +101,8 @@
         if endpoint is None:
             _log_unknown("endpoint", action)
         key = AttemptKey(request.id, request.attempt_count)
+        if request.attempt_count > 0:
+            self._pool.memory.shared.counters.count(EventKind.RETRY)
         request.attempt_count += 1
         client_request_id = request.client_request.request_id
         is_unsafe = request.client_request.class_name in self._unsafe_class_names
--- a/tests/net/driver/test_event_loop_driver.py
+++ b/tests/net/driver/test_event_loop_driver.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from load_balancer.net.event_counters import EventKind
 from tests.net.discovery.list_server import HeldListServer
 from tests.support.balancer_harness import balancer_settings
 from tests.support.connect_gates import ConnectGates
@@ -134,3 +135,15 @@
         gate.open_all()
         assert (await response_task)[2] == b"b"
         assert first_endpoint.connection_count == 0
+
+
+async def test_retries_and_final_responses_of_the_policy_are_counted() -> None:
+    async with (
+        StandInEndpoint(http_response(500)) as first,
+        StandInEndpoint(http_response(500)) as second,
+        running_proxy(endpoint_entry("a", first.port), endpoint_entry("b", second.port)) as proxy,
+    ):
+        await proxy.send_request(http_request())
+        counts = proxy.shared.counters.counts
+        assert counts[EventKind.RETRY] == len(first.received) + len(second.received) - 1 > 0
+        assert counts[EventKind.POLICY_FAILED] + counts[EventKind.POLICY_REJECTED] == 1
