Define once when memory is short, for requests and for responses

request_memory and response_memory each had the share and the formula, and multiplied at each read of a connection. The budget has both now and computes its thresholds when its limits change. Behaviour is as it was.

--- a/load_balancer/net/client/request_memory.py
+++ b/load_balancer/net/client/request_memory.py
@@ -21,8 +21,6 @@
 
 log = logging.getLogger(__name__)
 
-# Above this share of the limit, connections are read in small pieces.
-SHORT_SHARE = 0.6
 # Up to this share, requests larger than SMALL_REQUEST_BYTES are admitted at once. The rest is left to small
 # ones, which are not to wait behind large ones.
 LARGE_REQUEST_SHARE = 0.8
@@ -120,7 +118,7 @@
     @property
     def is_short(self) -> bool:
         """Whether so much is held that connections are read in small pieces."""
-        return self.budget.free_request_bytes < (1.0 - SHORT_SHARE) * self.budget.limits.requests_bytes
+        return self.budget.is_short_for_requests
 
     def add(self, holder: MemoryHolder) -> RequestMemoryState:
         """Add a connection that holds nothing yet, and return its state."""
@@ -135,7 +133,7 @@
 
     def may_read_fully(self, state: RequestMemoryState) -> bool:
         """Return whether the next read of a connection may have the usual size."""
-        return not self.is_short or state.reserved_bytes > 0
+        return not self.budget.is_short_for_requests or state.reserved_bytes > 0
 
     @staticmethod
     def update(state: RequestMemoryState, held_bytes: int) -> None:
--- a/load_balancer/net/memory_budget.py
+++ b/load_balancer/net/memory_budget.py
@@ -30,6 +30,10 @@
     __hash__ = object.__hash__  # that of Enum is a Python function, and each charge looks up its owner
 
 
+# Above this share of a limit, memory is short: connections of that side are read in small pieces.
+SHORT_SHARE = 0.6
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryLimits:
     """Limits on the charges, in bytes.
@@ -69,6 +73,21 @@
         # Kept up to date by each change, as they are read at each read from a connection.
         self.free_request_bytes = limits.requests_bytes
         self.free_response_bytes = limits.responses_bytes
+        self._set_thresholds()
+
+    def _set_thresholds(self) -> None:
+        self._requests_short_below_bytes = (1.0 - SHORT_SHARE) * self._limits.requests_bytes
+        self._responses_short_below_bytes = (1.0 - SHORT_SHARE) * self._limits.responses_bytes
+
+    @property
+    def is_short_for_requests(self) -> bool:
+        """Whether requests hold so much that connections of clients are read in small pieces."""
+        return self.free_request_bytes < self._requests_short_below_bytes
+
+    @property
+    def is_short_for_responses(self) -> bool:
+        """Whether responses hold so much that connections to endpoints are read in small pieces."""
+        return self.free_response_bytes < self._responses_short_below_bytes
 
     @property
     def limits(self) -> MemoryLimits:
@@ -80,6 +99,7 @@
         self.free_request_bytes += limits.requests_bytes - self._limits.requests_bytes
         self.free_response_bytes += limits.responses_bytes - self._limits.responses_bytes
         self._limits = limits
+        self._set_thresholds()
 
     def change(self, owner: MemoryOwner, change_bytes: int) -> None:
         """Add to the charge of an owner; a negative change releases memory."""
--- a/load_balancer/net/upstream/response_memory.py
+++ b/load_balancer/net/upstream/response_memory.py
@@ -14,8 +14,6 @@
 from load_balancer.net.memory_budget import MemoryOwner
 from load_balancer.net.shared_resources import SharedResources
 
-# Above this share of the limit, connections are read in small pieces.
-SHORT_SHARE = 0.6
 CHECK_INTERVAL_S = 0.02
 
 
@@ -52,9 +50,7 @@
 
     def may_read_fully(self, holder: ResponseHolder) -> bool:
         """Return whether the next read of a connection may have the usual size."""
-        budget = self.shared.budget
-        is_short = budget.free_response_bytes < (1.0 - SHORT_SHARE) * budget.limits.responses_bytes
-        return not is_short or holder in self._reserved_bytes
+        return not self.shared.budget.is_short_for_responses or holder in self._reserved_bytes
 
     def has_reserved(self, holder: ResponseHolder) -> bool:
         """Return whether the response on a connection has memory reserved."""
