Build both periodic log lines about memory with one function

request_memory and memory_guard wrote the same limits of repeated lines; periodic_line stands beside repeated_fault. The lines are as they were.

--- a/load_balancer/net/client/request_memory.py
+++ b/load_balancer/net/client/request_memory.py
@@ -17,7 +17,7 @@
 from load_balancer.net.event_counters import EventCounters, EventKind
 from load_balancer.net.memory_admission import IncompleteRequest, WaitingRequest, decide
 from load_balancer.net.memory_budget import MemoryAccount, MemoryBudget, MemoryOwner
-from load_balancer.net.repeated_log_lines import LogLine, RepeatedLogLines, RunLimits
+from load_balancer.net.repeated_log_lines import LogLine, periodic_line
 
 log = logging.getLogger(__name__)
 
@@ -101,13 +101,11 @@
         self._waiting: dict[RequestMemoryState, None] = {}  # in order of arrival
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._short_log = RepeatedLogLines(
+        self._short_log = periodic_line(
             log,
-            line=LogLine(
-                logging.WARNING, "memory is short, reading is stopped for %d requests; KiB held: %s"
-            ),
-            summary=LogLine(logging.WARNING, "memory was short for %d more requests"),
-            limits=RunLimits(max_lines=1, window_s=LOG_INTERVAL_S),
+            LogLine(logging.WARNING, "memory is short, reading is stopped for %d requests; KiB held: %s"),
+            "memory was short for %d more requests",
+            LOG_INTERVAL_S,
         )
 
     @property
--- a/load_balancer/net/repeated_log_lines.py
+++ b/load_balancer/net/repeated_log_lines.py
@@ -129,3 +129,16 @@
         summary=LogLine(logging.INFO, f"{text}: ended after %d occurrences"),
         limits=RunLimits(max_lines=1, quiet_s=QUIET_PERIOD_S, counts_all=True),
     )
+
+
+def periodic_line(log: logging.Logger, line: LogLine, summary_text: str, window_s: float) -> RepeatedLogLines:
+    """Return log lines for a condition that may last: at most one in each window, then the count of the others.
+
+    Args:
+        log: The logger that receives the lines.
+        line: The line.
+        summary_text: The text of the summary, which has the level of the line, with one `%d`.
+        window_s: The time between two lines, seconds.
+    """
+    limits = RunLimits(max_lines=1, window_s=window_s)
+    return RepeatedLogLines(log, line, LogLine(line.level, summary_text), limits)
--- a/load_balancer/process/memory_guard.py
+++ b/load_balancer/process/memory_guard.py
@@ -12,7 +12,7 @@
 
 from load_balancer.net.client.client_listener import ClientListener
 from load_balancer.net.event_counters import EventKind
-from load_balancer.net.repeated_log_lines import LogLine, RepeatedLogLines, RunLimits
+from load_balancer.net.repeated_log_lines import LogLine, periodic_line
 from load_balancer.net.shared_resources import SharedResources
 
 log = logging.getLogger("load_balancer")
@@ -52,13 +52,11 @@
         self._return_free_memory = return_free_memory
         self._loop = asyncio.get_running_loop()
         self._trimmed_at_s = -TRIM_INTERVAL_S
-        self._log = RepeatedLogLines(
+        self._log = periodic_line(
             log,
-            line=LogLine(
-                logging.ERROR, "%d KiB held, near the memory limit; ended %d requests; KiB held: %s"
-            ),
-            summary=LogLine(logging.ERROR, "process was near its memory limit %d more times"),
-            limits=RunLimits(max_lines=1, window_s=LOG_INTERVAL_S),
+            LogLine(logging.ERROR, "%d KiB held, near the memory limit; ended %d requests; KiB held: %s"),
+            "process was near its memory limit %d more times",
+            LOG_INTERVAL_S,
         )
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self.check)
 
