--- a/load_balancer/net/repeated_log_lines.py
+++ b/load_balancer/net/repeated_log_lines.py
@@ -132,7 +132,7 @@
 
 
 def periodic_line(log: logging.Logger, line: LogLine, summary_text: str, window_s: float) -> RepeatedLogLines:
-    """Return log lines for a condition that may last: at most one in each window, then the count of the others.
+    """Return log lines for a condition that may last: one in each window, then the count of the others.
 
     Args:
         log: The logger that receives the lines.
