Keep the verdict of a review script when its output is closed

A closed standard output ended a script with 1, the code of a broken rule, before the verdict was given.

--- a/review/peers/record.py
+++ b/review/peers/record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import sys
 import time
@@ -32,9 +33,11 @@
         self._file.flush()
 
     def say(self, text: str) -> None:
-        """Add a line, and print it."""
+        """Add a line, and print it if standard output is still read."""
         self.add(text)
-        sys.stdout.write(text + "\n")
+        with contextlib.suppress(OSError):
+            sys.stdout.write(text + "\n")
+            sys.stdout.flush()
 
     def add_requests(self, requests: Iterable[Sent]) -> None:
         """Add a line for each request, with times since the beginning."""
@@ -84,5 +87,4 @@
 
 def end(code: int) -> NoReturn:
     """End this process at once: streams that outlive their event loop would write tracebacks."""
-    sys.stdout.flush()
     os._exit(code)
