--- a/review/peers/record.py
+++ b/review/peers/record.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import sys
 import time
 import traceback
@@ -73,12 +74,15 @@
     record.add(f"disruption: {has_trouble()}")
 
     async def within_limit() -> bool:
+        playing = asyncio.ensure_future(case(record))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         async with asyncio.timeout(TIME_LIMIT_S):
-            return await case(record)
+            return await playing
 
     try:
         is_broken = asyncio.run(within_limit())
-    except Exception:  # noqa: BLE001 - whatever went wrong, the case could not be played
+    except (Exception, asyncio.CancelledError):  # noqa: BLE001 - whatever it was, the case was not played
         record.say("could not run: " + traceback.format_exc())
         end(COULD_NOT_RUN)
     record.say("RULE BROKEN" if is_broken else "rule held")
