--- a/review/peers/platform.py
+++ b/review/peers/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -17,6 +18,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 30.0
 SECOND_US = 1_000_000
+PR_SET_PDEATHSIG = 1  # see prctl(2)
 
 
 def free_port(host: str = "127.0.0.1") -> int:
@@ -26,6 +28,14 @@
         return int(probe.getsockname()[1])
 
 
+def end_with_parent() -> None:
+    """Have the system kill this process when its parent ends; called in what is about to be a proxy.
+
+    A script that is killed can't end its proxy itself.
+    """
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def lane(name: str, idempotency: str, deadline_s: float, **more: object) -> dict[str, object]:
     """Return a request class of the settings, which is wanted by its deadline."""
     deadline_us = round(deadline_s * SECOND_US)
@@ -138,7 +148,14 @@
         with self.log_path.open("ab") as log:
             self.started_at_s = time.monotonic()
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                "/bin/sh",
+                "-c",
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
             )
 
     async def is_ready_now(self) -> bool:
