Keep a late call to discovery open beside the next one, so that slow discovery is heard

Cause: one time limit in net/discovery/endpoint_watch answered two questions, when to try again and when to stop waiting. A delay just over it (1.0 s pushed, 2.5 s polled, 3.0 s for a change in pieces on an open watch) was never heard, whatever the limit.

Change: a late call is reported to the policy as before, and stays open beside the one that the policy opens; the first call that delivers a list remains. The watch takes its callbacks and timeouts as records.

--- a/load_balancer/net/discovery/watch_stream.py
+++ b/load_balancer/net/discovery/watch_stream.py
@@ -64,6 +64,11 @@
         self._http = new_parser(h11.CLIENT)
         self._splitter = JsonTextSplitter()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes received of an incomplete list."""
+        return self._splitter.buffered_bytes
+
     def request(self, address: Address, since_version: int | None) -> bytes:
         """Return the bytes of the request.
 
--- a/load_balancer/net/driver/endpoint_list_receiver.py
+++ b/load_balancer/net/driver/endpoint_list_receiver.py
@@ -8,11 +8,13 @@
 from load_balancer import messages
 from load_balancer.net.addresses import Address
 from load_balancer.net.clock import Clock
+from load_balancer.net.discovery.call_schedule import POLLED_LIST_TIMEOUTS_S, PUSHED_LIST_TIMEOUTS_S
 from load_balancer.net.discovery.endpoint_list import EndpointListMessage
 from load_balancer.net.discovery.endpoint_watch import (
-    POLLED_LIST_TIMEOUT_S,
-    PUSHED_LIST_TIMEOUT_S,
+    CallFailure,
     EndpointWatch,
+    WatchCallbacks,
+    WatchTimeouts,
 )
 from load_balancer.net.discovery.start_times import StartTimes
 from load_balancer.net.driver.endpoint_directory import EndpointDirectory
@@ -28,8 +30,8 @@
             policy requests it.
         endpoints: The addresses of the endpoints, from the list as last applied.
         start_times: The start times of the endpoints, by the policy's clock.
-        discovery_reported: Set once a watch has delivered a list or failed, or if there is no need to wait
-            for either.
+        discovery_reported: Set once a call has delivered a list, ended or become late, or if there is no need
+            to wait for any of these.
     """
 
     def __init__(
@@ -48,10 +50,8 @@
         self.start_times = StartTimes(clock)
         self.watch = EndpointWatch(
             discovery,
-            self.receive,
-            self.handle_watch_failure,
-            POLLED_LIST_TIMEOUT_S if is_polled else PUSHED_LIST_TIMEOUT_S,
-            on_heartbeat=self.start_times.confirm,
+            WatchCallbacks(self.receive, self.handle_call_failure, self.start_times.confirm),
+            WatchTimeouts(POLLED_LIST_TIMEOUTS_S if is_polled else PUSHED_LIST_TIMEOUTS_S),
         )
         self.discovery_reported = asyncio.Event()
         self._events = events
@@ -83,7 +83,7 @@
         for endpoint in out_of_service:
             self._pool.disable_endpoint(endpoint)
 
-    def handle_watch_failure(self) -> None:
-        """Report the failure of the watch to the policy, which decides when to reopen it."""
+    def handle_call_failure(self, failure: CallFailure) -> None:
+        """Report the failure of a call to the policy, which decides when to open another one."""
         self.discovery_reported.set()
         self._events.put(messages.EndpointListUpdate(messages.EndpointListKind.FAILED))
--- a/load_balancer/policy/subscription.py
+++ b/load_balancer/policy/subscription.py
@@ -17,8 +17,8 @@
 # latency and event loop delays. The worst case of each failure stays within the limit:
 # - A call has failed immediately: the longest backoff, 2 s in discovery's queue until the next call is
 #   refused, a first backoff, and 2 s in the queue until the list is sent. This case determines the bound.
-# - A call has just started: a time-out without a response after 2.5 s, a first backoff, 2 s in the queue.
-# - A watch has become silent: a time-out after 3 s, a first backoff, 2 s in the queue.
+# - A call has just started: late without a response after 2.5 s, a first backoff, 2 s in the queue.
+# - A watch has become silent: late after 3 s, a first backoff, 2 s in the queue.
 NOTIFICATION_LIMIT_US = 6_000_000
 DISCOVERY_QUEUE_US = 2_000_000
 NOTIFICATION_MARGIN_US = 250_000
@@ -60,14 +60,14 @@
         self.backoff_us = FIRST_BACKOFF_US
 
     def handle_failure(self, now_us: int) -> None:
-        """Schedule the next subscription after a call to discovery or the watch has failed."""
+        """Schedule the next subscription after a call to discovery or the watch has failed or is late."""
         if not self._must_subscribe:
             # With pushed lists, the balancer is expected to have each change even while no watch is open. A
             # new watch puts no load on discovery, so it needs no backoff.
             self._schedule_subscription(max(now_us, self._subscribed_at_us + PUSH_WATCH_INTERVAL_US))
             return
-        # Jitter keeps the balancers from subscribing all at once when discovery recovers. During a long call
-        # the balancer makes no other calls, so the backoff counts from the start of the call.
+        # Jitter keeps the balancers from subscribing all at once when discovery recovers. No other call is
+        # opened until a call is late, so the backoff counts from the start of the call.
         jitter_factor = self.jitter.uniform(1.0 - BACKOFF_JITTER, 1.0)
         at_us = max(
             now_us + int(jitter_factor * FIRST_BACKOFF_US),
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from load_balancer.net.client.client_listener import ClientListener
-from load_balancer.net.discovery.endpoint_watch import POLLED_LIST_TIMEOUT_S
+from load_balancer.net.discovery.call_schedule import POLLED_LIST_TIMEOUT_S
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
 from load_balancer.net.receive_scheduler import ReceiveScheduler
 from load_balancer.net.shared_resources import SharedResources
