Wait at the start for a slow pushed list before the cached one is used

Seen: where lists are pushed, a process listened after 1 s without a list and used the cached one, while it counts as notified of discovery's list from its first moment.

Cause: a late call was taken for a failed one (EndpointListReceiver.discovery_reported).

Change: only a list or the end of a call ends the wait, or 4.5 s (FIRST_LIST_WAIT_S): a restarted proxy has to be ready in 6 s on short runs. Where lists are polled a cached list still suffices.

--- a/load_balancer/net/driver/endpoint_list_receiver.py
+++ b/load_balancer/net/driver/endpoint_list_receiver.py
@@ -30,8 +30,8 @@
             policy requests it.
         endpoints: The addresses of the endpoints, from the list as last applied.
         start_times: The start times of the endpoints, by the policy's clock.
-        discovery_reported: Set once a call has delivered a list, ended or become late, or if there is no need
-            to wait for any of these.
+        discovery_reported: Set once a call has delivered a list or ended, or if there is no need to wait for
+            either. A late call does not set it, as discovery may be slow.
     """
 
     def __init__(
@@ -85,5 +85,6 @@
 
     def handle_call_failure(self, failure: CallFailure) -> None:
         """Report the failure of a call to the policy, which decides when to open another one."""
-        self.discovery_reported.set()
+        if failure is CallFailure.ENDED:
+            self.discovery_reported.set()
         self._events.put(messages.EndpointListUpdate(messages.EndpointListKind.FAILED))
--- a/load_balancer/process/server.py
+++ b/load_balancer/process/server.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 
 from load_balancer.net.client.client_listener import ClientListener
-from load_balancer.net.discovery.call_schedule import POLLED_LIST_TIMEOUT_S
 from load_balancer.net.driver.event_loop_driver import EventLoopDriver
 from load_balancer.net.receive_scheduler import ReceiveScheduler
 from load_balancer.net.shared_resources import SharedResources
@@ -28,6 +27,9 @@
 
 log = logging.getLogger("load_balancer")
 
+# A restarted proxy must be ready within 6 s on short runs, of which the start of the process takes a part.
+FIRST_LIST_WAIT_S = 4.5
+
 
 async def serve(config: Config, source: ConfigSource) -> None:
     """Run the proxy until SIGTERM or SIGINT; call this once per process."""
@@ -47,8 +49,8 @@
     proxy.driver.start(config.cached_list)
     freeze_startup_objects()
     # From its start, the process counts as notified of the list that discovery's agent holds, and the cached
-    # list may be outdated. The timeout covers an established watch that never sends a list.
-    await wait_for_any(proxy.driver.discovery_reported, stop, timeout_s=POLLED_LIST_TIMEOUT_S)
+    # list may be outdated. Discovery may be slow, or down and silent.
+    await wait_for_any(proxy.driver.discovery_reported, stop, timeout_s=FIRST_LIST_WAIT_S)
     if not stop.is_set():
         guard = proxy.limit_memory(config)
         address = proxy.listener.listen(config.listen)
