Compare event counters by their sum, so that no copy of them grows at the first log line

Change: the counters only grow, so their sum shows whether one has changed; the copy of the logged ones is gone. The log is the same.

--- a/load_balancer/net/event_counters.py
+++ b/load_balancer/net/event_counters.py
@@ -48,7 +48,7 @@
     def __init__(self) -> None:
         """Start without events."""
         self.counts: Counter[EventKind] = Counter()
-        self._logged: Counter[EventKind] = Counter()
+        self._logged_total = 0  # counts only grow, so their sum shows whether any has changed
         self._logged_at_s = -math.inf
 
     def count(self, kind: EventKind) -> None:
@@ -62,7 +62,7 @@
             now_s: The event loop's time, seconds.
             details: Further figures for the line.
         """
-        if now_s - self._logged_at_s < LOG_INTERVAL_S or self.counts == self._logged:
+        if now_s - self._logged_at_s < LOG_INTERVAL_S or self.counts.total() == self._logged_total:
             return
         self._logged_at_s = now_s
         self.log_totals(details)
@@ -75,6 +75,6 @@
         """
         if not self.counts:
             return
-        self._logged = self.counts.copy()
+        self._logged_total = self.counts.total()
         totals = ", ".join(f"{kind.value} {count}" for kind, count in self.counts.items())
         log.info("totals since the start: %s; %s", totals, details)
