Move the open calls and the log lines of the watch into modules of their own

OpenCalls now owns the calls and their schedule, WatchLog the three kinds of lines.

Two rules get tests: the incomplete lists of all calls are bounded together, and a late call is closed in the end.

--- a/load_balancer/net/discovery/endpoint_watch.py
+++ b/load_balancer/net/discovery/endpoint_watch.py
@@ -19,14 +19,14 @@
 
 from load_balancer.errors import WireError
 from load_balancer.net.addresses import Address
-from load_balancer.net.discovery.call_schedule import CallSchedule, call_to_close
-from load_balancer.net.discovery.discovery_call import MAX_LATE_S, DiscoveryCall
+from load_balancer.net.discovery.call_schedule import CallSchedule
+from load_balancer.net.discovery.discovery_call import DiscoveryCall
 from load_balancer.net.discovery.endpoint_list import EndpointListMessage, merge_changes
 from load_balancer.net.discovery.held_version import HeldVersion
-from load_balancer.net.discovery.json_stream import MAX_TEXT_BYTES
-from load_balancer.net.discovery.watch_stream import WatchError, WatchProgress
+from load_balancer.net.discovery.open_calls import OpenCalls
+from load_balancer.net.discovery.watch_log import WatchLog
+from load_balancer.net.discovery.watch_stream import WatchProgress
 from load_balancer.net.http_parser import forget_frames
-from load_balancer.net.repeated_log_lines import LogLine, RepeatedLogLines, RunLimits, periodic_line
 
 log = logging.getLogger(__name__)
 
@@ -40,8 +40,6 @@
 READ_BYTES = 65_536
 # Parts of the stream that are parsed in one iteration of the event loop: a read may hold thousands of chunks.
 MAX_PARTS_PER_ITERATION = 50
-FAILURE_LOG_WINDOW_S = 10.0
-MAX_LOGGED_FAILURES = 5  # per window, one for each reason; the others are counted
 
 
 class CallFailure(Enum):
@@ -53,14 +51,6 @@
     """The call has ended."""
 
 
-class IncompleteListsTooLongError(WatchError):
-    """The incomplete lists of all open calls are together longer than one may be."""
-
-    def __init__(self) -> None:
-        """Create the error."""
-        super().__init__(f"incomplete lists of all calls are together longer than {MAX_TEXT_BYTES} bytes")
-
-
 @dataclass(frozen=True, slots=True)
 class WatchTimeouts:
     """Timeouts of a watch.
@@ -105,22 +95,15 @@
         self._address = address
         self._callbacks = callbacks
         self._heartbeat_timeout_s = timeouts.heartbeat_s
-        self._schedule = CallSchedule(timeouts.first_message_s)
-        self._calls: list[DiscoveryCall] = []  # the oldest first
+        schedule = CallSchedule(timeouts.first_message_s)
+        self._calls = OpenCalls(schedule, self._run, self._handle_late_call, self._handle_expired_call)
         self._held = HeldVersion(address)
-        self._failure_log = _failure_log("watch on discovery failed")
-        self._late_log = _failure_log("watch on discovery is late")
-        self._slow_log = periodic_line(
-            log,
-            LogLine(logging.INFO, "discovery responded to a late call after %.2f s; calls open: %d"),
-            "discovery responded to %d more late calls",
-            FAILURE_LOG_WINDOW_S,
-        )
+        self._log = WatchLog(log)
 
     @property
     def is_running(self) -> bool:
         """Whether a call is open or being opened that is not late."""
-        return any(not call.is_late for call in self._calls)
+        return self._calls.has_call_on_time
 
     @property
     def version(self) -> int | None:
@@ -133,15 +116,8 @@
 
     def start(self) -> None:
         """Open a call, unless one is open that is not late."""
-        if self.is_running:
-            return
-        closed_index = call_to_close([call.has_fallen_silent for call in self._calls])
-        if closed_index is not None:
-            self._calls.pop(closed_index).close()
-        call = DiscoveryCall(
-            self._schedule.next_timeout_s, self._run, self._handle_late_call, self._handle_expired_call
-        )
-        self._calls.append(call)
+        if not self.is_running:
+            self._calls.open()
 
     def change_address(self, address: Address) -> None:
         """Close the watch and open it at another address.
@@ -155,14 +131,11 @@
         """
         self.close()
         self._address = address
-        self._schedule.reset()
         self.start()
 
     def close(self) -> None:
         """Close all calls without calling `on_failure`."""
-        for call in self._calls:
-            call.close()
-        self._calls.clear()
+        self._calls.close_all()
 
     async def _run(self, call: DiscoveryCall) -> None:
         """Make the call, and report its failure unless the call was reported as late."""
@@ -170,12 +143,11 @@
             await self._read_lists(call)
         except (WireError, OSError, h11.RemoteProtocolError) as error:
             forget_frames(error)
-            self._failure_log.record(asyncio.get_running_loop().time(), str(error))
+            self._log.record_failure(asyncio.get_running_loop().time(), str(error))
         except Exception:
             # An error in this program, such as in `on_list`. Uncaught, it would end this task unnoticed: the
             # watch would never be reopened, and the list would never change again.
             log.exception("unexpected error in the watch on discovery")
-        call.stop_timeout()
         self._calls.remove(call)
         if not call.is_late:
             self._callbacks.on_failure(CallFailure.ENDED)
@@ -191,7 +163,7 @@
                 # Parts of a list do not extend the timeouts: a list sent byte by byte may never end.
                 if await self._process_received(call):
                     await _pause_reading(writer)
-                self._check_incomplete_lists(call)
+                self._calls.check_incomplete_lists(call)
         finally:
             writer.transport.abort()
 
@@ -225,7 +197,8 @@
             # never send it again.
             self._held.record(message, self._address)
             call.has_received_list = True
-            self._close_others(call)
+            # A heartbeat closes no other call: the list of that one may be further on.
+            self._calls.close_others(call)
         if heartbeat and call.has_received_list:
             self._callbacks.on_heartbeat()
 
@@ -233,55 +206,17 @@
         """Record that discovery has sent a list or a heartbeat on a call."""
         if call.is_late and not call.has_received_message:
             now_s = asyncio.get_running_loop().time()
-            self._slow_log.record(now_s, call.age_s, len(self._calls))
-        call.record_message(self._heartbeat_timeout_s)
-        self._schedule.reset()
-
-    def _close_others(self, remaining: DiscoveryCall) -> None:
-        """Close all other calls, as this one has delivered a list.
-
-        A heartbeat does not suffice: the list of another call may be further on.
-        """
-        for call in self._calls:
-            if call is not remaining:
-                call.close()
-        self._calls[:] = [remaining]
+            self._log.record_late_response(now_s, call.age_s, len(self._calls))
+        self._calls.record_message(call, self._heartbeat_timeout_s)
 
     def _handle_late_call(self, call: DiscoveryCall) -> None:
         """Report a call without a list or heartbeat before its timeout."""
-        if not call.has_received_message:
-            self._schedule.record_late_call()
-        now_s = asyncio.get_running_loop().time()
-        self._late_log.record(now_s, "no list or heartbeat before the timeout; the call stays open")
+        self._log.record_late_call(asyncio.get_running_loop().time())
         self._callbacks.on_failure(CallFailure.LATE)
 
     def _handle_expired_call(self, call: DiscoveryCall) -> None:
-        """Close a call that has been late for too long; its failure was reported when it became late."""
-        call.close()
-        self._calls.remove(call)
-        now_s = asyncio.get_running_loop().time()
-        self._failure_log.record(now_s, f"no list or heartbeat for {MAX_LATE_S:.0f} s after the timeout")
-
-    def _check_incomplete_lists(self, call: DiscoveryCall) -> None:
-        """Fail a call if the incomplete lists of all calls take too much memory; the oldest call goes on.
-
-        Raises:
-            IncompleteListsTooLongError: The call is not the oldest, and there is no memory for its list.
-        """
-        if call is self._calls[0]:
-            return
-        if sum(open_call.stream.buffered_bytes for open_call in self._calls) > MAX_TEXT_BYTES:
-            raise IncompleteListsTooLongError
-
-
-def _failure_log(text: str) -> RepeatedLogLines:
-    """Return log lines for failures with a reason, which starts with a text."""
-    return RepeatedLogLines(
-        log,
-        line=LogLine(logging.WARNING, f"{text}: %s"),
-        summary=LogLine(logging.WARNING, f"{text} %d more times"),
-        limits=RunLimits(window_s=FAILURE_LOG_WINDOW_S, max_lines=MAX_LOGGED_FAILURES, logs_repeats=False),
-    )
+        """Log that a late call was closed; its failure was reported when it became late."""
+        self._log.record_expired_call(asyncio.get_running_loop().time())
 
 
 async def _pause_reading(writer: asyncio.StreamWriter) -> None:
--- a/tests/net/discovery/test_discovery_outages.py
+++ b/tests/net/discovery/test_discovery_outages.py
@@ -13,7 +13,7 @@
 from load_balancer import messages
 from load_balancer.net.discovery.call_schedule import MAX_OPEN_CALLS
 from load_balancer.net.discovery.endpoint_list_json import endpoint_id_from_uid
-from load_balancer.net.discovery.endpoint_watch import FAILURE_LOG_WINDOW_S
+from load_balancer.net.discovery.watch_log import FAILURE_LOG_WINDOW_S
 from tests.net.discovery.list_server import HeldListServer
 from tests.process.process_helpers import wait_for_log_line
 from tests.support.endpoint_lists import (
@@ -50,7 +50,8 @@
 from tests.support.stepped_clock import SteppedClock, advance_until
 
 CLOCK_STEPS = 300  # in each outage, regardless of its length
-# Lines logged in each FAILURE_LOG_WINDOW_S of an outage with one reason: the reason, and the repeat count.
+# Lines logged in each FAILURE_LOG_WINDOW_S of an outage with one reason: the reason, that a call is late, and
+# the repeat count.
 MAX_LINES_PER_WINDOW = 3
 
 
--- a/tests/net/discovery/test_endpoint_watch.py
+++ b/tests/net/discovery/test_endpoint_watch.py
@@ -266,7 +266,10 @@
 async def test_silent_watch_is_replaced_in_time_when_the_next_ones_are_silent_too(
     must_subscribe: bool, silent_numbers: tuple[int, ...], limit_s: float
 ) -> None:
-    """By the protocol, a change must be applied within 6 s after the watch fell silent."""
+    """By the protocol, a change must be applied within 6 s after the watch fell silent.
+
+    Polled lists have until 2 s after the wait of a poll is over, if that is later.
+    """
 
     clock = FrozenClock()
     settings = balancer_settings(must_subscribe=must_subscribe)
--- a/tests/net/discovery/test_slow_discovery.py
+++ b/tests/net/discovery/test_slow_discovery.py
@@ -8,6 +8,7 @@
 import pytest
 
 from load_balancer import messages
+from load_balancer.net.discovery import open_calls
 from load_balancer.net.discovery.call_schedule import MAX_OPEN_CALLS, POLLED_LIST_TIMEOUT_S
 from load_balancer.net.discovery.endpoint_watch import HEARTBEAT_TIMEOUT_S
 from tests.support.endpoint_lists import WATCH_RESPONSE_HEAD
@@ -67,6 +68,10 @@
 EACH_RESPONSE = pytest.mark.parametrize("respond", RESPONSES, ids=[r.__name__ for r in RESPONSES])
 
 
+def open_count(discovery: StandInDiscovery) -> int:
+    return sum(not request.closed_by_proxy.is_set() for request in discovery.requests)
+
+
 async def advance_to_version(proxy: LoopbackProxy, clock: SteppedClock, rev: int) -> float:
     return await advance_until(
         clock, lambda: proxy.driver.endpoint_list.watch.version == rev, 90.0, must_hold=True
@@ -149,9 +154,7 @@
         discovery.on_request = lambda request: respond_with_heartbeat_and_pieces(request, 5.0, 8)
         send_pieces(discovery.requests[0], 5.0, 7)
         assert await advance_to_version(proxy, clock, 7) <= 5.0 + STEPPING_S
-        await advance_until(
-            clock, lambda: sum(not r.closed_by_proxy.is_set() for r in discovery.requests) == 1
-        )
+        await advance_until(clock, lambda: open_count(discovery) == 1)
         assert not discovery.requests[0].closed_by_proxy.is_set()
 
 
@@ -161,4 +164,19 @@
         await advance_until(clock, lambda: False, 120.0)
         assert LIST_DEADLINE_S / 2 >= POLLED_LIST_TIMEOUT_S
         assert 120.0 / LIST_DEADLINE_S <= len(discovery.requests) <= 120.0 / POLLED_LIST_TIMEOUT_S
-        assert sum(not request.closed_by_proxy.is_set() for request in discovery.requests) <= MAX_OPEN_CALLS
+        assert open_count(discovery) <= MAX_OPEN_CALLS
+        assert discovery.requests[0].closed_by_proxy.is_set()
+
+
+@EACH_SUBSCRIPTION
+async def test_incomplete_lists_of_all_calls_are_bounded_together(
+    settings: messages.Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The oldest call goes on, as its list may be the furthest."""
+    monkeypatch.setattr(open_calls, "MAX_TEXT_BYTES", 1_000)
+    async with watching_proxy(settings) as (discovery, _, clock):
+        part = WATCH_RESPONSE_HEAD + http_chunk('{"rev":1,"note":"' + "x" * 600)
+        discovery.on_request = lambda request: request.send(part)
+        await advance_until(clock, lambda: len(discovery.requests) == 5, must_hold=True)
+        assert open_count(discovery) <= 2
+        assert not discovery.requests[0].closed_by_proxy.is_set()
--- a/tests/scenarios/test_descriptor_exhaustion.py
+++ b/tests/scenarios/test_descriptor_exhaustion.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from load_balancer.net.discovery.endpoint_watch import FAILURE_LOG_WINDOW_S, MAX_LOGGED_FAILURES
+from load_balancer.net.discovery.watch_log import FAILURE_LOG_WINDOW_S, MAX_LOGGED_FAILURES
 from tests.support.endpoint_lists import (
     WATCH_RESPONSE_HEAD,
     endpoint_entry,
