Wait for all requests in the test of buffered bytes, as a late event loop pauses reading too

Cause, in the test: it took the moment at which no connection is read for the end of reading, and a late event loop pauses connections whose bytes wait for their turn as well.

--- a/tests/net/client/test_connection_limits.py
+++ b/tests/net/client/test_connection_limits.py
@@ -288,6 +288,8 @@
                 + http_request("mark", request_id=f"s{number}", body=b"x" * 60_000) * 10
             )
         connections = list(proxy.clients.open_connections)
+        # A late event loop also pauses connections whose bytes wait for their turn.
+        await wait_until(lambda: len(proxy.driver.requests) >= client_count)
         await wait_until(lambda: all(not connection.transport.is_reading() for connection in connections))
         assert len(proxy.driver.requests) == client_count  # one open request per client
         assert (
