Name the owner of the calls in the doc comments, and count open requests in one place

Read again after the landing work: three module comments still named EndpointWatch as the owner of what OpenCalls owns since, and one said that at most one call is on time, which a heartbeat on a late call makes untrue. Two tests summed the open requests of the stand-in discovery by the same expression; the stand-in has it now. What is asserted is the same, and only comments of the product change.

--- a/load_balancer/net/discovery/call_schedule.py
+++ b/load_balancer/net/discovery/call_schedule.py
@@ -2,7 +2,7 @@
 
 A call without a response may be slow or dead, and nothing tells the two apart before the response. So a late
 call stays open, and another one is opened beside it: a slow discovery is heard at the first call, a call that
-died is replaced. The module performs no I/O and reads no clock. `EndpointWatch` owns one schedule.
+died is replaced. The module performs no I/O and reads no clock. `OpenCalls` owns one schedule.
 """
 
 from __future__ import annotations
--- a/load_balancer/net/discovery/discovery_call.py
+++ b/load_balancer/net/discovery/discovery_call.py
@@ -1,6 +1,6 @@
 """One call to discovery: its HTTP exchange, the task that reads from it, and when it is late.
 
-`EndpointWatch` creates a call, reads from its connection in the task of the call, and closes it.
+`OpenCalls` creates and closes calls; `EndpointWatch` reads from the connection in the task of the call.
 """
 
 from __future__ import annotations
--- a/load_balancer/net/discovery/endpoint_watch.py
+++ b/load_balancer/net/discovery/endpoint_watch.py
@@ -3,8 +3,9 @@
 A call that is late stays open, and another one is opened beside it (`call_schedule`). The first one that
 delivers a list remains, the others are closed.
 
-The watch owns its calls and the version that is held. It passes each list to the driver and reports each
-call that fails or is late. Only the driver opens another one, as the policy decides when to do so.
+The watch owns its calls (`open_calls`) and the version that is held. It passes each list to the driver and
+reports each call that fails or is late. Only the driver opens another one, as the policy decides when to do
+so.
 """
 
 from __future__ import annotations
--- a/load_balancer/net/discovery/open_calls.py
+++ b/load_balancer/net/discovery/open_calls.py
@@ -1,4 +1,4 @@
-"""The open calls of a watch: at most one is not late, and few are open.
+"""The open calls of a watch: a new one is opened only while all others are late, and few are open.
 
 `EndpointWatch` owns one `OpenCalls`, reads from the calls and reports their failures.
 """
--- a/tests/net/discovery/test_discovery_outages.py
+++ b/tests/net/discovery/test_discovery_outages.py
@@ -89,7 +89,7 @@
 
     A request without a response has not failed: it stays open beside the next ones, of which few are open.
     """
-    assert sum(not request.closed_by_proxy.is_set() for request in discovery.requests) <= MAX_OPEN_CALLS
+    assert discovery.open_request_count <= MAX_OPEN_CALLS
     assert running_watch_count() <= MAX_OPEN_CALLS
     assert len(proxy.driver.balancer.outbox.timers) <= 2
     assert len(proxy.driver.timers) <= 2
--- a/tests/net/discovery/test_slow_discovery.py
+++ b/tests/net/discovery/test_slow_discovery.py
@@ -68,10 +68,6 @@
 EACH_RESPONSE = pytest.mark.parametrize("respond", RESPONSES, ids=[r.__name__ for r in RESPONSES])
 
 
-def open_count(discovery: StandInDiscovery) -> int:
-    return sum(not request.closed_by_proxy.is_set() for request in discovery.requests)
-
-
 async def advance_to_version(proxy: LoopbackProxy, clock: SteppedClock, rev: int) -> float:
     return await advance_until(
         clock, lambda: proxy.driver.endpoint_list.watch.version == rev, 90.0, must_hold=True
@@ -154,7 +150,7 @@
         discovery.on_request = lambda request: respond_with_heartbeat_and_pieces(request, 5.0, 8)
         send_pieces(discovery.requests[0], 5.0, 7)
         assert await advance_to_version(proxy, clock, 7) <= 5.0 + STEPPING_S
-        await advance_until(clock, lambda: open_count(discovery) == 1)
+        await advance_until(clock, lambda: discovery.open_request_count == 1)
         assert not discovery.requests[0].closed_by_proxy.is_set()
 
 
@@ -164,7 +160,7 @@
         await advance_until(clock, lambda: False, 120.0)
         assert LIST_DEADLINE_S / 2 >= POLLED_LIST_TIMEOUT_S
         assert 120.0 / LIST_DEADLINE_S <= len(discovery.requests) <= 120.0 / POLLED_LIST_TIMEOUT_S
-        assert open_count(discovery) <= MAX_OPEN_CALLS
+        assert discovery.open_request_count <= MAX_OPEN_CALLS
         assert discovery.requests[0].closed_by_proxy.is_set()
 
 
@@ -178,5 +174,5 @@
         part = WATCH_RESPONSE_HEAD + http_chunk('{"rev":1,"note":"' + "x" * 600)
         discovery.on_request = lambda request: request.send(part)
         await advance_until(clock, lambda: len(discovery.requests) == 5, must_hold=True)
-        assert open_count(discovery) <= 2
+        assert discovery.open_request_count <= 2
         assert not discovery.requests[0].closed_by_proxy.is_set()
--- a/tests/support/stand_in_discovery.py
+++ b/tests/support/stand_in_discovery.py
@@ -88,6 +88,11 @@
         self.on_request: Callable[[DiscoveryRequest], None] = lambda request: None
         self.server = StandInServer(self.handle)
 
+    @property
+    def open_request_count(self) -> int:
+        """The number of requests whose connection the proxy has not closed."""
+        return sum(not request.closed_by_proxy.is_set() for request in self.requests)
+
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Receive one request, and set `closed_by_proxy` when the proxy closes the connection."""
         await reader.readuntil(b"\r\n\r\n")
